--- /dev/null
+++ b/apps/entry/caller_service.cpp
@@ -0,0 +1,212 @@
+#include "caller_service.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/NumberParser.h>
+#include <Poco/UUIDGenerator.h>
+#include <glog/logging.h>
+
+#include "config_service.h"
+#include "http/headers.h"
+#include "peer_service.h"
+#include "relay.h"
+
+namespace egretmount::entry {
+
+using namespace literals;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr const char *jsonType = "application/json";
+constexpr std::string_view bearer = "Bearer ";
+constexpr int callerWeight = 100;
+constexpr Milliseconds notReadyRetryAfter = 1'000_ms;
+constexpr std::size_t maxRequestIdBytes = 128;
+
+std::string stringify(const Poco::JSON::Object &object)
+{
+    std::ostringstream stream;
+    object.stringify(stream);
+    return stream.str();
+}
+
+std::string tokenOf(const http::Exchange &exchange)
+{
+    const std::string value = exchange.header("Authorization");
+    if (value.compare(0, bearer.size(), bearer) != 0)
+        return {};
+    return value.substr(bearer.size());
+}
+
+bool isPlainName(const std::string &text)
+{
+    const auto isAllowed = [](unsigned char c) {
+        return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+    };
+    return !text.empty() && text.size() <= maxRequestIdBytes
+           && std::all_of(text.begin(), text.end(), isAllowed);
+}
+
+/// Counts a request while it is being served.
+class CurrentRequest
+{
+public:
+    explicit CurrentRequest(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~CurrentRequest() { --m_count; }
+    CurrentRequest(const CurrentRequest &) = delete;
+    CurrentRequest &operator=(const CurrentRequest &) = delete;
+
+private:
+    std::atomic<int> &m_count;
+};
+
+http::ServerLimits limitsFrom(const EntrySettings &settings)
+{
+    http::ServerLimits limits;
+    limits.maxThreads = settings.maxRequests;
+    return limits;
+}
+
+} // namespace
+
+CallerService::CallerService(kernel::Loop &loop, kernel::Registry &registry,
+                             const EntrySettings &settings)
+    : m_loop(loop)
+    , m_registry(registry)
+    , m_settings(settings)
+    , m_server(limitsFrom(settings))
+{ }
+
+void CallerService::start()
+{
+    m_server.route("GET", "/v1/locate", [this](http::Exchange &e) { locate(e); });
+    m_server.route("POST", "/v1/completions", [this](http::Exchange &e) { complete(e); });
+    m_server.route("POST", "/v1/calls/", [this](http::Exchange &e) { call(e); });
+    m_server.route("GET", "/health/ready", [this](http::Exchange &e) { sendReadiness(e); });
+    m_server.route("GET", "/health/live", [](http::Exchange &e) {
+        e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
+    });
+    m_server.start(m_settings.httpAddress);
+    LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
+}
+
+void CallerService::stop()
+{
+    m_server.stop();
+}
+
+void CallerService::locate(http::Exchange &exchange)
+{
+    const std::vector<membership::ListedInstance> callable = m_loop.call([this] {
+        const PeerService &peers = m_registry.find<PeerService>();
+        return membership::callableInstances(peers.membership(), peers.isDraining(),
+                                             monotonicNow());
+    });
+    Poco::JSON::Array instances;
+    for (const membership::ListedInstance &instance : callable) {
+        Poco::JSON::Object row;
+        row.set("instance", instance.id.value);
+        row.set("zone", instance.zone.value);
+        row.set("address", instance.httpAddress);
+        row.set("weight", callerWeight);
+        instances.add(row);
+    }
+    Poco::JSON::Object answer;
+    answer.set("instances", instances);
+    answer.set("max_age_ms", m_settings.locateMaxAge.count());
+    const std::int64_t maxAgeSeconds = m_settings.locateMaxAge.count() / 1000;
+    exchange.response().set("Cache-Control", "max-age=" + std::to_string(maxAgeSeconds));
+    exchange.send(HTTPResponse::HTTP_OK, jsonType, stringify(answer));
+}
+
+void CallerService::complete(http::Exchange &exchange)
+{
+    const CurrentRequest current(m_current);
+    const Milliseconds arrival = monotonicNow();
+    const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
+    if (!body)
+        return exchange.sendError(body.error());
+    const Result<CompletionBody> completion = readCompletionBody(*body);
+    if (!completion)
+        return exchange.sendError(completion.error());
+    Result<Request> request = makeRequest(exchange, completion->service);
+    if (!request)
+        return exchange.sendError(request.error());
+    request->arrival = arrival;
+    request->promptTokens = completion->promptTokens;
+    request->maxTokens = completion->maxTokens;
+    CompletionRelay relay(m_registry, exchange, *request, *body);
+    relay.run();
+}
+
+void CallerService::call(http::Exchange &exchange)
+{
+    const CurrentRequest current(m_current);
+    const Milliseconds arrival = monotonicNow();
+    const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
+    if (!body)
+        return exchange.sendError(body.error());
+    const std::string service = exchange.rest().substr(0, exchange.rest().find('/'));
+    Result<Request> request = makeRequest(exchange, ServiceId(service));
+    if (!request)
+        return exchange.sendError(request.error());
+    request->arrival = arrival;
+    relayCall(m_registry, exchange, *request, *body);
+}
+
+void CallerService::sendReadiness(http::Exchange &exchange)
+{
+    const std::shared_ptr<const config::FleetDocument> document =
+        m_registry.find<ConfigService>().document();
+    const bool isDraining =
+        m_loop.call([this] { return m_registry.find<PeerService>().isDraining(); });
+    Poco::JSON::Object answer;
+    const bool isReady = document && !isDraining;
+    answer.set("ready", isReady);
+    answer.set("config_version", document ? document->version : 0);
+    exchange.send(isReady ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                  jsonType, stringify(answer));
+}
+
+Result<Request> CallerService::makeRequest(http::Exchange &exchange, const ServiceId &service) const
+{
+    const std::shared_ptr<const config::FleetDocument> document =
+        m_registry.find<ConfigService>().document();
+    if (!document)
+        return fail(ErrorId::NotReady, Verdict::NotRun, "no fleet document is known yet",
+                    notReadyRetryAfter);
+    const std::string token = tokenOf(exchange);
+    const config::Team *team = token.empty() ? nullptr : config::findTeamByToken(*document, token);
+    if (!team)
+        return fail(ErrorId::Unauthenticated, Verdict::NotRun, "the team token is not known");
+    if (!config::findService(*document, service))
+        return fail(ErrorId::UnknownService, Verdict::NotRun, "no such service");
+
+    Poco::Int64 left = m_settings.defaultDeadline.count();
+    const std::string stated = exchange.header(http::deadlineHeader);
+    if (!stated.empty() && !Poco::NumberParser::tryParse64(stated, left))
+        return fail(ErrorId::MalformedRequest, Verdict::NotRun,
+                    "the deadline is not a number of milliseconds");
+    if (left <= 0)
+        return fail(ErrorId::DeadlinePassed, Verdict::NotRun, "the deadline has passed");
+
+    Request request;
+    const std::string id = exchange.header(http::requestIdHeader);
+    if (!id.empty() && !isPlainName(id))
+        return fail(ErrorId::MalformedRequest, Verdict::NotRun, "the request id is not a name");
+    request.id = RequestId(
+        id.empty() ? Poco::UUIDGenerator::defaultGenerator().createRandom().toString() : id);
+    request.team = team->id;
+    request.service = service;
+    request.deadline = monotonicNow() + std::min(Milliseconds(left), m_settings.maxDeadline);
+    const config::Priority *priority = config::findPriority(*document, team->priority);
+    request.priority = priority ? priority->level : 0;
+    return request;
+}
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/caller_service.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include <egretmount/core/error.h>
+#include <egretmount/core/request.h>
+
+#include "dispatch_service.h"
+#include "entry_settings.h"
+#include "http/server.h"
+#include "kernel/loop.h"
+#include "kernel/service.h"
+#include "request_watch.h"
+
+namespace egretmount::entry {
+
+/// @brief The HTTP server for callers: locate, completions, calls and health pages.
+class CallerService : public kernel::Service
+{
+public:
+    static constexpr std::string_view serviceName = "callers";
+
+    CallerService(kernel::Loop &loop, kernel::Registry &registry, const EntrySettings &settings);
+
+    std::string_view name() const override { return serviceName; }
+    void start() override;
+    void stop() override;
+
+    /// @brief Requests that are being served.
+    int current() const { return m_current; }
+
+private:
+    void locate(http::Exchange &exchange);
+    void complete(http::Exchange &exchange);
+    void call(http::Exchange &exchange);
+    void sendReadiness(http::Exchange &exchange);
+
+    /// Checks token, service and deadline, and fills in the request.
+    Result<Request> makeRequest(http::Exchange &exchange, const ServiceId &service) const;
+
+    kernel::Loop &m_loop;
+    kernel::Registry &m_registry;
+    EntrySettings m_settings;
+    http::Server m_server;
+    std::atomic<int> m_current { 0 };
+};
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/entry_settings.cpp
@@ -0,0 +1,85 @@
+#include "entry_settings.h"
+
+namespace egretmount::entry {
+
+namespace {
+
+constexpr std::int64_t highestMilliseconds = 3'600'000;
+constexpr std::int64_t highestBodyBytes = 256 << 20;
+constexpr std::int64_t highestRequests = 10'000;
+
+std::vector<config::SectionSpec> makeSpecs()
+{
+    using config::ValueKind;
+    return {
+        { "instance",
+          false,
+          {
+              { "id", ValueKind::Text, "", "", 0, 0, "", true,
+                "Name of this instance in the platform's list." },
+              { "zone", ValueKind::Text, "", "", 0, 0, "", true,
+                "Availability zone that it stands in." },
+              { "httpAddress", ValueKind::Address, "", "", 0, 0, "", true, "Address for callers." },
+              { "rpcAddress", ValueKind::Address, "", "", 0, 0, "", true,
+                "Address for other instances." },
+          } },
+        { "platform",
+          false,
+          {
+              { "address", ValueKind::Address, "", "", 0, 0, "", true,
+                "Address of the platform's HTTP server." },
+          } },
+        { "peers",
+          false,
+          {
+              { "fleetKey", ValueKind::Text, "", "", 0, 0, "", true,
+                "Secret that all instances share." },
+          } },
+        { "limits",
+          false,
+          {
+              { "maxBodyBytes", ValueKind::Integer, "bytes", "16777216", 1, highestBodyBytes, "",
+                false, "Longest body of a request." },
+              { "maxRequests", ValueKind::Integer, "requests", "512", 1, highestRequests, "", false,
+                "Requests served at one time." },
+              { "defaultDeadlineMs", ValueKind::Integer, "ms", "30000", 1, highestMilliseconds, "",
+                false, "Deadline of a request that states none." },
+              { "maxDeadlineMs", ValueKind::Integer, "ms", "600000", 1, highestMilliseconds, "",
+                false, "Longest deadline; a longer one is cut to it." },
+              { "locateMaxAgeMs", ValueKind::Integer, "ms", "5000", 1, highestMilliseconds, "",
+                false, "How long callers may keep the answer of /v1/locate." },
+              { "drainSlackMs", ValueKind::Integer, "ms", "1000", 0, highestMilliseconds, "", false,
+                "Time added to locateMaxAgeMs before a leaving instance closes." },
+          } },
+    };
+}
+
+} // namespace
+
+const std::vector<config::SectionSpec> &entrySettingsSpecs()
+{
+    static const std::vector<config::SectionSpec> specs = makeSpecs();
+    return specs;
+}
+
+EntrySettings readEntrySettings(const kernel::Settings &settings)
+{
+    const config::SectionReader instance = settings.section("instance");
+    const config::SectionReader limits = settings.section("limits");
+    EntrySettings read;
+    read.id = InstanceId(instance.text("id"));
+    read.zone = ZoneId(instance.text("zone"));
+    read.httpAddress = instance.text("httpAddress");
+    read.rpcAddress = instance.text("rpcAddress");
+    read.platformAddress = settings.section("platform").text("address");
+    read.fleetKey = settings.section("peers").text("fleetKey");
+    read.maxBodyBytes = static_cast<std::size_t>(limits.integer("maxBodyBytes"));
+    read.maxRequests = static_cast<int>(limits.integer("maxRequests"));
+    read.defaultDeadline = Milliseconds(limits.integer("defaultDeadlineMs"));
+    read.maxDeadline = Milliseconds(limits.integer("maxDeadlineMs"));
+    read.locateMaxAge = Milliseconds(limits.integer("locateMaxAgeMs"));
+    read.drainSlack = Milliseconds(limits.integer("drainSlackMs"));
+    return read;
+}
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/entry_settings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <egretmount/config/schema.h>
+#include <egretmount/core/clock.h>
+#include <egretmount/core/ids.h>
+
+#include "kernel/settings.h"
+
+namespace egretmount::entry {
+
+/// @brief Settings of an entry instance.
+struct EntrySettings
+{
+    InstanceId id;
+    ZoneId zone;
+    std::string httpAddress;
+    std::string rpcAddress;
+    std::string platformAddress;
+    std::string fleetKey;
+    std::size_t maxBodyBytes = 0;
+    int maxRequests = 0;
+    Milliseconds defaultDeadline;
+    Milliseconds maxDeadline;
+    Milliseconds locateMaxAge;
+    Milliseconds drainSlack;
+};
+
+/// @brief Specification of the settings.
+const std::vector<config::SectionSpec> &entrySettingsSpecs();
+
+/// @brief Reads checked settings.
+EntrySettings readEntrySettings(const kernel::Settings &settings);
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/event_reader.cpp
@@ -0,0 +1,49 @@
+#include "event_reader.h"
+
+#include <string>
+
+#include <Poco/NumberParser.h>
+
+namespace egretmount::entry {
+
+namespace {
+
+constexpr std::string_view idField = "id: ";
+constexpr std::string_view errorEvent = "event: error";
+constexpr std::string_view finishMark = "\"finish_reason\":\"";
+constexpr std::size_t maxLineBytes = 1U << 20U;
+
+bool startsWith(const std::string &text, std::string_view start)
+{
+    return text.compare(0, start.size(), start) == 0;
+}
+
+} // namespace
+
+std::optional<stream::Chunk> EventReader::next()
+{
+    stream::Chunk chunk;
+    bool hasOffset = false;
+    std::string line;
+    while (std::getline(m_stream, line)) {
+        if (line.size() > maxLineBytes || startsWith(line, errorEvent))
+            return std::nullopt;
+        if (line.empty()) {
+            if (hasOffset)
+                return chunk;
+            chunk = stream::Chunk();
+            continue;
+        }
+        if (startsWith(line, idField)) {
+            Poco::Int64 offset = 0;
+            hasOffset = Poco::NumberParser::tryParse64(line.substr(idField.size()), offset);
+            chunk.offset = offset;
+            continue;
+        }
+        chunk.isLast = chunk.isLast || line.find(finishMark) != std::string::npos;
+        chunk.payload += line + '\n';
+    }
+    return std::nullopt;
+}
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/main.cpp
@@ -0,0 +1,54 @@
+// An entry instance: callers connect here, and it routes their requests to targets.
+
+#include <memory>
+
+#include <glog/logging.h>
+
+#include "caller_service.h"
+#include "config_service.h"
+#include "dispatch_service.h"
+#include "entry_settings.h"
+#include "kernel/daemon.h"
+#include "peer_service.h"
+#include "request_watch.h"
+
+namespace {
+
+using namespace egretmount;
+using namespace egretmount::literals;
+
+constexpr Milliseconds idleCheckInterval = 20_ms;
+
+// Every request ends by its deadline, so this ends too.
+void stopWhenIdle(kernel::Loop &loop, const entry::CallerService &callers)
+{
+    if (callers.current() == 0)
+        return loop.stop();
+    loop.after(idleCheckInterval, [&loop, &callers] { stopWhenIdle(loop, callers); });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    kernel::captureStopSignals();
+    const kernel::Settings settings = kernel::Settings::loadOrExit(
+        argc, argv, "Entry instance of egretmount.", entry::entrySettingsSpecs());
+    const entry::EntrySettings own = entry::readEntrySettings(settings);
+
+    kernel::Loop loop;
+    kernel::Registry registry;
+    registry.add(std::make_unique<entry::ConfigService>(loop, own));
+    entry::PeerService &peers =
+        registry.add(std::make_unique<entry::PeerService>(loop, registry, own));
+    registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
+    registry.add(std::make_unique<entry::WatchService>(loop));
+    entry::CallerService &callers =
+        registry.add(std::make_unique<entry::CallerService>(loop, registry, own));
+
+    // Callers keep the answer of /v1/locate for a while, so the address stays served that long.
+    return kernel::runDaemon(loop, registry, [&] {
+        peers.setDraining();
+        loop.after(own.locateMaxAge + own.drainSlack, [&] { stopWhenIdle(loop, callers); });
+    });
+}
--- /dev/null
+++ b/apps/entry/peer_server.cpp
@@ -0,0 +1,52 @@
+#include "peer_server.h"
+
+#include <kj/debug.h>
+
+#include "config_service.h"
+#include "peer_service.h"
+
+namespace egretmount::entry {
+
+namespace {
+
+class PeerServer final : public wire::Peer::Server
+{
+public:
+    PeerServer(kernel::Registry &registry, rpc::PeerIdentity caller)
+        : m_registry(registry)
+        , m_caller(std::move(caller))
+    { }
+
+    kj::Promise<void> heartbeat(HeartbeatContext context) override
+    {
+        const wire::Heartbeat::Reader beat = context.getParams().getBeat();
+        const InstanceRun sender = rpc::readRun(beat.getSender().getRun());
+        KJ_REQUIRE(sender == m_caller.run, "a heartbeat in another instance's name");
+        PeerService &peers = m_registry.find<PeerService>();
+        peers.takeHeartbeat(beat);
+        peers.writeHeartbeat(context.getResults().initBeat());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> document(DocumentContext context) override
+    {
+        const ConfigService &config = m_registry.find<ConfigService>();
+        const std::shared_ptr<const config::FleetDocument> document = config.document();
+        if (document && document->version >= context.getParams().getVersion())
+            context.getResults().setText(config.text());
+        return kj::READY_NOW;
+    }
+
+private:
+    kernel::Registry &m_registry;
+    rpc::PeerIdentity m_caller;
+};
+
+} // namespace
+
+wire::Peer::Client makePeerServer(kernel::Registry &registry, const rpc::PeerIdentity &caller)
+{
+    return kj::heap<PeerServer>(registry, caller);
+}
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/relay.cpp
@@ -0,0 +1,290 @@
+#include "relay.h"
+
+#include <future>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/NumberParser.h>
+#include <glog/logging.h>
+
+#include "config_service.h"
+#include "event_reader.h"
+#include "http/headers.h"
+#include "http/load_report.h"
+#include "peer_service.h"
+
+namespace egretmount::entry {
+
+using namespace literals;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr Milliseconds connectTimeout = 500_ms;
+constexpr Milliseconds cancelTimeout = 500_ms;
+constexpr Milliseconds retryAfterFailure = 500_ms;
+constexpr int maxAttempts = 3;
+constexpr TokenCount bytesPerToken = 4;
+constexpr TokenCount defaultMaxTokens = 16;
+constexpr TokenCount highestMaxTokens = 1'000'000;
+
+std::string ownerText(const PeerService &peers)
+{
+    const InstanceRun &run = peers.self().run;
+    return run.instance.value + '/' + std::to_string(run.incarnation);
+}
+
+HTTPRequest makeTargetRequest(const std::string &path, const Request &request,
+                              const PeerService &peers)
+{
+    HTTPRequest http(HTTPRequest::HTTP_POST, path, Poco::Net::HTTPMessage::HTTP_1_1);
+    const Milliseconds left = request.deadline - monotonicNow();
+    http.setContentType("application/json");
+    http.set(http::requestIdHeader, request.id.value);
+    http.set(http::deadlineHeader, std::to_string(left.count()));
+    http.set(http::priorityHeader, std::to_string(request.priority));
+    http.set(http::ownerHeader, ownerText(peers));
+    return http;
+}
+
+// Waits for the decision; it always comes, as the loop answers every request at once or later.
+Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request)
+{
+    using Decision = std::promise<Result<Assignment>>;
+    std::shared_ptr<Decision> promise = std::make_shared<Decision>();
+    std::future<Result<Assignment>> decision = promise->get_future();
+    // The callback owns the promise alone, so that a loop that ends breaks it and this wait ends.
+    dispatch.submit(request, [promise = std::move(promise)](Result<Assignment> result) {
+        promise->set_value(std::move(result));
+    });
+    return decision.get();
+}
+
+Error deadlineError(Verdict verdict)
+{
+    return { ErrorId::DeadlinePassed, verdict, "the deadline passed", retryAfterFailure };
+}
+
+} // namespace
+
+Result<CompletionBody> readCompletionBody(const std::string &body)
+{
+    try {
+        Poco::JSON::Parser parser;
+        const Poco::JSON::Object::Ptr object =
+            parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+        CompletionBody read;
+        // Extracting, unlike converting, refuses values of other types.
+        read.service = ServiceId(object->get("model").extract<std::string>());
+        const std::string prompt = object->get("prompt").extract<std::string>();
+        read.promptTokens =
+            (static_cast<TokenCount>(prompt.size()) + bytesPerToken - 1) / bytesPerToken;
+        read.maxTokens = object->optValue<TokenCount>("max_tokens", defaultMaxTokens);
+        if (read.promptTokens == 0 || read.maxTokens < 1 || read.maxTokens > highestMaxTokens)
+            return fail(ErrorId::MalformedRequest, Verdict::NotRun,
+                        "prompt or max_tokens is out of range");
+        return read;
+    } catch (const Poco::Exception &) {
+        return fail(ErrorId::MalformedRequest, Verdict::NotRun,
+                    "the body needs a model, a prompt and no other types than the API's");
+    }
+}
+
+CompletionRelay::CompletionRelay(kernel::Registry &registry, http::Exchange &exchange,
+                                 Request request, const std::string &body)
+    : m_registry(registry)
+    , m_dispatch(registry.find<DispatchService>())
+    , m_exchange(exchange)
+    , m_request(std::move(request))
+    , m_body(body)
+    , m_watch(
+          std::make_shared<RequestWatch>(m_request.deadline, http::PeerWatch(exchange.request())))
+{
+    registry.find<WatchService>().add(m_watch);
+}
+
+CompletionRelay::~CompletionRelay()
+{
+    m_watch->close();
+}
+
+void CompletionRelay::run()
+{
+    Result<void> result = attempt();
+    while (!result && m_attempts < maxAttempts && m_watch->interruption() == Interruption::None
+           && result.error().id == ErrorId::TargetFailed) {
+        LOG(INFO) << "callers: trying another target request=" << m_request.id.value
+                  << " offset=" << m_reassembly.nextOffset;
+        result = attempt();
+    }
+    if (!result)
+        answerError(result.error());
+}
+
+Result<void> CompletionRelay::attempt()
+{
+    ++m_attempts;
+    const Result<Assignment> assignment = requestTarget(m_dispatch, m_request);
+    if (!assignment) {
+        Error error = assignment.error();
+        error.verdict = m_verdict;
+        return tl::make_unexpected(error);
+    }
+    m_target = assignment->target;
+    Result<void> result = relayFrom(*assignment);
+    const bool isInterrupted = m_watch->interruption() != Interruption::None;
+    if (isInterrupted)
+        cancelAt(assignment->address);
+    const Outcome failed = isInterrupted ? Outcome::Cancelled : Outcome::Failed;
+    m_dispatch.finish(m_request.id, result ? Outcome::Completed : failed);
+    return result;
+}
+
+Result<void> CompletionRelay::relayFrom(const Assignment &assignment)
+{
+    const std::shared_ptr<http::ClientCall> call =
+        std::make_shared<http::ClientCall>(assignment.address);
+    m_watch->setCall(call);
+    Result<void> result;
+    try {
+        call->connect(connectTimeout, assignment.silenceTimeout);
+        HTTPRequest request =
+            makeTargetRequest("/v1/completions", m_request, m_registry.find<PeerService>());
+        if (m_reassembly.nextOffset > 0)
+            request.set(http::lastEventIdHeader, std::to_string(m_reassembly.nextOffset - 1));
+        m_verdict = Verdict::MayHaveRun;
+        call->send(request, m_body);
+        HTTPResponse response;
+        std::istream &stream = call->receive(response);
+        routing::LoadReport report;
+        if (http::readLoadReport(response.get(http::loadHeader, ""), report))
+            m_dispatch.noteReport(assignment.target, report);
+        if (response.getStatus() == HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE)
+            result = fail(ErrorId::PromptTooLong, m_verdict, "no target has that much memory");
+        else if (response.getStatus() != HTTPResponse::HTTP_OK)
+            result = fail(ErrorId::TargetFailed, m_verdict, "the target refused the request",
+                          retryAfterFailure);
+        else
+            result = readEvents(stream);
+    } catch (const Poco::Exception &) {
+        result = fail(ErrorId::TargetFailed, m_verdict, "the target failed", retryAfterFailure);
+    }
+    m_watch->setCall(nullptr);
+    if (!result && m_watch->interruption() != Interruption::None)
+        return tl::make_unexpected(interruptionError());
+    return result;
+}
+
+Result<void> CompletionRelay::readEvents(std::istream &stream)
+{
+    EventReader reader(stream);
+    while (!m_reassembly.isComplete) {
+        const std::optional<stream::Chunk> chunk = reader.next();
+        if (!chunk)
+            return fail(ErrorId::TargetFailed, m_verdict, "the target broke off its answer",
+                        retryAfterFailure);
+        for (const stream::Chunk &ready : stream::accept(m_reassembly, *chunk)) {
+            if (!forward(ready))
+                return fail(ErrorId::StreamInterrupted, m_verdict, "the caller has left");
+        }
+    }
+    m_verdict = Verdict::Ran;
+    return {};
+}
+
+bool CompletionRelay::forward(const stream::Chunk &chunk)
+{
+    if (!m_out) {
+        m_dispatch.noteFirstToken(m_request.id);
+        m_exchange.response().set(http::requestIdHeader, m_request.id.value);
+        m_exchange.response().set(http::targetHeader, m_target.value);
+        m_exchange.response().set(http::verdictHeader, std::string(nameOf(m_verdict)));
+        m_out = &m_exchange.startEvents();
+    }
+    *m_out << "id: " << chunk.offset << '\n' << chunk.payload << '\n';
+    if (chunk.isLast)
+        *m_out << "event: verdict\ndata: {\"verdict\":\"ran\"}\n\ndata: [DONE]\n\n";
+    *m_out << std::flush;
+    return static_cast<bool>(*m_out);
+}
+
+void CompletionRelay::answerError(const Error &error)
+{
+    if (m_watch->interruption() == Interruption::CallerGone) {
+        LOG_EVERY_N(INFO, 20) << "callers: the caller has left request=" << m_request.id.value;
+        return;
+    }
+    m_exchange.response().set(http::requestIdHeader, m_request.id.value);
+    if (!m_out)
+        return m_exchange.sendError(error);
+    *m_out << "event: error\ndata: " << http::errorJson(error) << "\n\n" << std::flush;
+}
+
+void CompletionRelay::cancelAt(const std::string &address)
+{
+    try {
+        HTTPRequest request(HTTPRequest::HTTP_DELETE, "/v1/streams/" + m_request.id.value,
+                            Poco::Net::HTTPMessage::HTTP_1_1);
+        http::fetch(address, request, {}, cancelTimeout);
+    } catch (const Poco::Exception &) {
+        // The target ends the stream by itself at the request's deadline.
+        LOG_EVERY_N(INFO, 20) << "callers: a cancel was lost request=" << m_request.id.value;
+    }
+}
+
+Error CompletionRelay::interruptionError() const
+{
+    if (m_watch->interruption() == Interruption::DeadlinePassed)
+        return deadlineError(m_verdict);
+    return { ErrorId::StreamInterrupted, m_verdict, "the caller has left", Milliseconds() };
+}
+
+void relayCall(kernel::Registry &registry, http::Exchange &exchange, const Request &request,
+               const std::string &body)
+{
+    DispatchService &dispatch = registry.find<DispatchService>();
+    const Result<Assignment> assignment = requestTarget(dispatch, request);
+    exchange.response().set(http::requestIdHeader, request.id.value);
+    if (!assignment)
+        return exchange.sendError(assignment.error());
+
+    const std::shared_ptr<RequestWatch> watch =
+        std::make_shared<RequestWatch>(request.deadline, http::PeerWatch(exchange.request()));
+    registry.find<WatchService>().add(watch);
+    const std::shared_ptr<http::ClientCall> call =
+        std::make_shared<http::ClientCall>(assignment->address);
+    watch->setCall(call);
+    Verdict verdict = Verdict::NotRun;
+    HTTPResponse response;
+    std::string answer;
+    bool isWhole = false;
+    try {
+        call->connect(connectTimeout, request.deadline - monotonicNow());
+        HTTPRequest outgoing = makeTargetRequest("/v1/calls/" + exchange.rest(), request,
+                                                 registry.find<PeerService>());
+        verdict = Verdict::MayHaveRun;
+        call->send(outgoing, body);
+        std::istream &stream = call->receive(response);
+        answer.assign(std::istreambuf_iterator<char>(stream), {});
+        isWhole = response.getStatus() == HTTPResponse::HTTP_OK;
+    } catch (const Poco::Exception &) {
+        isWhole = false;
+    }
+    watch->close();
+    dispatch.finish(request.id, isWhole ? Outcome::Completed : Outcome::Failed);
+    if (watch->interruption() == Interruption::CallerGone)
+        return;
+    if (watch->interruption() == Interruption::DeadlinePassed)
+        return exchange.sendError(deadlineError(verdict));
+    if (!isWhole) {
+        return exchange.sendError(
+            { ErrorId::TargetFailed, verdict, "the target failed", retryAfterFailure });
+    }
+    exchange.response().set(http::targetHeader, assignment->target.value);
+    exchange.response().set(http::verdictHeader, std::string(nameOf(Verdict::Ran)));
+    exchange.send(HTTPResponse::HTTP_OK, response.getContentType(), answer);
+}
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/relay.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <egretmount/core/error.h>
+#include <egretmount/core/request.h>
+#include <egretmount/stream/reassembly.h>
+
+#include "dispatch_service.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "request_watch.h"
+
+namespace egretmount::entry {
+
+/// @brief What the system needs to know of the body of a completion request.
+struct CompletionBody
+{
+    ServiceId service; ///< The `model` of the request names a service.
+    TokenCount promptTokens = 0; ///< Estimated from the length of the prompt.
+    TokenCount maxTokens = 0;
+};
+
+/// @brief Reads the body of a completion request.
+Result<CompletionBody> readCompletionBody(const std::string &body);
+
+/// @brief Serves one completion: asks for a target, relays its stream, goes on elsewhere after a
+///        failure at the offset that the caller has reached.
+class CompletionRelay
+{
+public:
+    CompletionRelay(kernel::Registry &registry, http::Exchange &exchange, Request request,
+                    const std::string &body);
+    ~CompletionRelay();
+
+    CompletionRelay(const CompletionRelay &) = delete;
+    CompletionRelay &operator=(const CompletionRelay &) = delete;
+
+    /// @brief Serves the request to its end; always answers unless the caller has left.
+    void run();
+
+private:
+    Result<void> attempt();
+    Result<void> relayFrom(const Assignment &assignment);
+    Result<void> readEvents(std::istream &stream);
+    bool forward(const stream::Chunk &chunk);
+    void answerError(const Error &error);
+    void cancelAt(const std::string &address);
+    Error interruptionError() const;
+
+    kernel::Registry &m_registry;
+    DispatchService &m_dispatch;
+    http::Exchange &m_exchange;
+    Request m_request;
+    const std::string &m_body;
+    std::shared_ptr<RequestWatch> m_watch;
+    stream::Reassembly m_reassembly;
+    TargetId m_target; // of the attempt in hand
+    Verdict m_verdict = Verdict::NotRun;
+    std::ostream *m_out = nullptr; // set once the head of the answer is sent
+    int m_attempts = 0;
+};
+
+/// @brief Serves one call of a plain service.
+void relayCall(kernel::Registry &registry, http::Exchange &exchange, const Request &request,
+               const std::string &body);
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/load/caller.cpp
@@ -0,0 +1,167 @@
+#include "caller.h"
+
+#include <algorithm>
+#include <chrono>
+#include <istream>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/NumberParser.h>
+
+#include "http/client.h"
+#include "http/headers.h"
+
+namespace egretmount::load {
+
+using namespace literals;
+using Poco::JSON::Object;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr Milliseconds connectTimeout = 2'000_ms;
+constexpr Milliseconds answerSlack = 2'000_ms;
+constexpr std::string_view dataField = "data: ";
+constexpr std::string_view idField = "id: ";
+constexpr std::string_view eventField = "event: ";
+constexpr std::string_view doneMark = "[DONE]";
+
+std::int64_t microsNow()
+{
+    const std::chrono::steady_clock::duration elapsed =
+        std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(elapsed).count();
+}
+
+std::string makeBody(const CallerRequest &request)
+{
+    Object body;
+    body.set("model", request.model);
+    body.set("prompt", request.prompt);
+    body.set("max_tokens", request.maxTokens);
+    body.set("stream", true);
+    std::ostringstream stream;
+    body.stringify(stream);
+    return stream.str();
+}
+
+void readError(const std::string &json, CallerResult &result)
+{
+    const Object::Ptr outer = Poco::JSON::Parser().parse(json).extract<Object::Ptr>();
+    const Object::Ptr error = outer->getObject("error");
+    result.error = error->optValue<std::string>("name", "unnamed");
+    result.verdict = error->optValue<std::string>("verdict", "");
+    result.retryAfterMs = error->optValue<std::int64_t>("retry_after_ms", 0);
+}
+
+/// Reads one stream of events into a result.
+class EventSink
+{
+public:
+    EventSink(CallerResult &result, std::int64_t start)
+        : m_result(result)
+        , m_start(start)
+        , m_last(start)
+    { }
+
+    void read(std::istream &stream)
+    {
+        std::string line;
+        std::string event;
+        std::int64_t offset = -1;
+        while (std::getline(stream, line)) {
+            if (line.compare(0, eventField.size(), eventField) == 0)
+                event = line.substr(eventField.size());
+            else if (line.compare(0, idField.size(), idField) == 0)
+                offset = Poco::NumberParser::parse64(line.substr(idField.size()));
+            else if (line.compare(0, dataField.size(), dataField) == 0)
+                take(event, offset, line.substr(dataField.size()));
+            else
+                event.clear();
+        }
+    }
+
+private:
+    void take(const std::string &event, std::int64_t offset, const std::string &data)
+    {
+        if (event == "error")
+            return readError(data, m_result);
+        if (event == "verdict") {
+            m_result.verdict =
+                Poco::JSON::Parser().parse(data).extract<Object::Ptr>()->getValue<std::string>(
+                    "verdict");
+            return;
+        }
+        if (data == doneMark) {
+            m_result.isWhole = m_isInOrder && m_isEnded;
+            m_result.totalMicros = microsNow() - m_start;
+            return;
+        }
+        takeToken(offset, data);
+    }
+
+    void takeToken(std::int64_t offset, const std::string &data)
+    {
+        m_isInOrder = m_isInOrder && !m_isEnded
+                      && offset == static_cast<std::int64_t>(m_result.tokens.size());
+        const Object::Ptr object = Poco::JSON::Parser().parse(data).extract<Object::Ptr>();
+        const Object::Ptr choice = object->getArray("choices")->getObject(0);
+        m_isEnded = !choice->isNull("finish_reason");
+        if (m_isEnded)
+            return;
+        m_result.tokens.push_back(choice->getValue<std::string>("text"));
+        const std::int64_t now = microsNow();
+        if (m_result.firstTokenMicros < 0)
+            m_result.firstTokenMicros = now - m_start;
+        else
+            m_result.longestGapMicros = std::max(m_result.longestGapMicros, now - m_last);
+        m_last = now;
+    }
+
+    CallerResult &m_result;
+    std::int64_t m_start;
+    std::int64_t m_last;
+    bool m_isInOrder = true;
+    bool m_isEnded = false;
+};
+
+void exchange(const CallerRequest &request, CallerResult &result, std::int64_t start)
+{
+    http::ClientCall call(request.address);
+    call.connect(connectTimeout, request.deadline + answerSlack);
+    HTTPRequest head(HTTPRequest::HTTP_POST, "/v1/completions", Poco::Net::HTTPMessage::HTTP_1_1);
+    head.setContentType("application/json");
+    head.set("Authorization", "Bearer " + request.token);
+    head.set(http::requestIdHeader, request.id.value);
+    head.set(http::deadlineHeader, std::to_string(request.deadline.count()));
+    call.send(head, makeBody(request));
+    HTTPResponse response;
+    std::istream &stream = call.receive(response);
+    result.status = static_cast<int>(response.getStatus());
+    result.target = response.get(http::targetHeader, "");
+    if (response.getStatus() == HTTPResponse::HTTP_OK)
+        EventSink(result, start).read(stream);
+    else
+        readError(std::string(std::istreambuf_iterator<char>(stream), {}), result);
+}
+
+} // namespace
+
+CallerResult complete(const CallerRequest &request)
+{
+    CallerResult result;
+    result.id = request.id;
+    const std::int64_t start = microsNow();
+    try {
+        exchange(request, result, start);
+    } catch (const std::exception &error) {
+        result.error = result.error.empty() ? error.what() : result.error;
+    }
+    if (result.totalMicros < 0)
+        result.totalMicros = microsNow() - start;
+    return result;
+}
+
+} // namespace egretmount::load
--- /dev/null
+++ b/apps/load/caller.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <egretmount/core/clock.h>
+#include <egretmount/core/ids.h>
+
+namespace egretmount::load {
+
+/// @brief A completion request as a caller sends it.
+struct CallerRequest
+{
+    std::string address; ///< `IP:port` of an entry instance, or of an engine for comparison.
+    std::string token; ///< Secret of the team.
+    RequestId id;
+    std::string model;
+    std::string prompt;
+    TokenCount maxTokens = 0;
+    Milliseconds deadline; ///< Time left when the request is sent.
+};
+
+/// @brief What the caller saw. Times are in microseconds since sending, minus one: did not happen.
+struct CallerResult
+{
+    RequestId id;
+    int status = 0; ///< HTTP status; zero: no answer.
+    std::string target;
+    std::string verdict;
+    std::string error; ///< Name of the error; empty: none.
+    std::int64_t retryAfterMs = 0;
+    std::int64_t firstTokenMicros = -1;
+    std::int64_t totalMicros = -1;
+    std::int64_t longestGapMicros = 0; ///< Longest time between two tokens.
+    std::vector<std::string> tokens;
+    bool isWhole = false; ///< Every token up to the end came, in order, once.
+};
+
+/// @brief Sends a completion and reads its stream to the end. Blocks; never throws.
+CallerResult complete(const CallerRequest &request);
+
+} // namespace egretmount::load
--- /dev/null
+++ b/apps/standins/target/main.cpp
@@ -0,0 +1,422 @@
+// Stand-in for a target: a model engine or a plain service, by its settings.
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/NumberParser.h>
+#include <glog/logging.h>
+
+#include <egretmount/core/digest.h>
+
+#include "engine.h"
+#include "http/headers.h"
+#include "http/load_report.h"
+#include "http/peer_watch.h"
+#include "http/server.h"
+#include "kernel/daemon.h"
+#include "kernel/settings.h"
+#include "plain.h"
+
+namespace {
+
+using namespace egretmount;
+using namespace egretmount::literals;
+using namespace egretmount::standins;
+using Poco::Net::HTTPResponse;
+
+constexpr const char *jsonType = "application/json";
+constexpr std::size_t maxBodyBytes = 64U << 20U;
+constexpr Milliseconds waitSlice = 50_ms;
+constexpr Milliseconds defaultDeadline = 60'000_ms;
+constexpr TokenCount defaultMaxTokens = 16;
+constexpr std::int64_t highestRate = 1'000'000'000;
+constexpr std::int64_t highestMilliseconds = 3'600'000;
+
+std::vector<config::SectionSpec> makeSpecs()
+{
+    using config::KeySpec;
+    using config::ValueKind;
+    const auto integer = [](std::string_view key, std::string_view unit, std::string_view value,
+                            std::string_view help) {
+        return KeySpec { key, ValueKind::Integer, unit, value, 0, highestRate, "", false, help };
+    };
+    return {
+        { "target",
+          false,
+          {
+              { "address", ValueKind::Address, "", "127.0.0.1:9000", 0, 0, "", false,
+                "Address of its HTTP server." },
+              { "mode", ValueKind::Choice, "", "engine", 0, 0, "engine|plain", false,
+                "What it stands in for." },
+          } },
+        { "engine",
+          false,
+          {
+              integer("memoryTokens", "tokens", "200000", "Memory."),
+              integer("slots", "streams", "64", "Streams in the batch at one time."),
+              integer("prefillTokensPerSecond", "tokens/s", "400000", "Rate for prompts."),
+              integer("decodeTokensPerSecond", "tokens/s", "20000", "Rate for answers."),
+              integer("streamTokensPerSecond", "tokens/s", "200", "Most of one stream."),
+              integer("coldSlots", "streams", "2", "Streams that it bears while cold."),
+              integer("warmAfterTokens", "tokens", "0", "Prompt tokens until it is warm."),
+              integer("coldSlowdown", "", "20", "Slowdown of an overloaded cold engine."),
+              integer("reportLagMs", "ms", "0", "Age of the load that it reports."),
+              integer("resumeWindowMs", "ms", "3000", "A stream without reader lives so long."),
+          } },
+        { "plain",
+          false,
+          {
+              { "callMs", ValueKind::Integer, "ms", "20", 0, highestMilliseconds, "", false,
+                "Time that a call takes." },
+          } },
+    };
+}
+
+const std::vector<config::SectionSpec> &settingsSpecs()
+{
+    static const std::vector<config::SectionSpec> specs = makeSpecs();
+    return specs;
+}
+
+EngineSettings readEngineSettings(const config::SectionReader &reader)
+{
+    EngineSettings settings;
+    settings.memoryTokens = reader.integer("memoryTokens");
+    settings.slots = reader.integer("slots");
+    settings.prefillTokensPerSecond = reader.integer("prefillTokensPerSecond");
+    settings.decodeTokensPerSecond = reader.integer("decodeTokensPerSecond");
+    settings.streamTokensPerSecond = reader.integer("streamTokensPerSecond");
+    settings.coldSlots = reader.integer("coldSlots");
+    settings.warmAfterTokens = reader.integer("warmAfterTokens");
+    settings.coldSlowdown = reader.integer("coldSlowdown");
+    settings.reportLag = Milliseconds(reader.integer("reportLagMs"));
+    settings.resumeWindow = Milliseconds(reader.integer("resumeWindowMs"));
+    return settings;
+}
+
+std::string stringify(const Poco::JSON::Object &object)
+{
+    std::ostringstream stream;
+    object.stringify(stream);
+    return stream.str();
+}
+
+Poco::JSON::Object loadJson(const routing::LoadReport &load)
+{
+    Poco::JSON::Object object;
+    object.set("boot", load.bootId);
+    object.set("tokens", load.usedTokens);
+    object.set("slots", load.usedSlots);
+    object.set("waiting", load.waitingPromptTokens);
+    object.set("warm", load.isWarm);
+    return object;
+}
+
+/// Connections that were open when the fault was set stay open and say nothing more.
+class SilenceFault
+{
+public:
+    void set() { m_since = monotonicNow().count(); }
+    bool appliesTo(Milliseconds opened) const { return opened.count() <= m_since; }
+
+private:
+    std::atomic<std::int64_t> m_since { -1 };
+};
+
+/// The parts of a completion body that the engine needs.
+struct Prompt
+{
+    std::string text;
+    TokenCount maxTokens = defaultMaxTokens;
+};
+
+Result<Prompt> readPrompt(const std::string &body)
+{
+    try {
+        Poco::JSON::Parser parser;
+        const Poco::JSON::Object::Ptr object =
+            parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+        Prompt prompt;
+        prompt.text = object->getValue<std::string>("prompt");
+        prompt.maxTokens = object->optValue<TokenCount>("max_tokens", defaultMaxTokens);
+        return prompt;
+    } catch (const Poco::Exception &) {
+        return fail(ErrorId::MalformedRequest, Verdict::NotRun, "the body is not a completion");
+    }
+}
+
+TokenCount numberOr(const std::string &text, TokenCount fallback)
+{
+    Poco::Int64 number = 0;
+    return Poco::NumberParser::tryParse64(text, number) ? number : fallback;
+}
+
+StreamRequest makeStreamRequest(const http::Exchange &exchange, const Prompt &prompt)
+{
+    StreamRequest request;
+    request.id = RequestId(exchange.header(http::requestIdHeader, "unnamed"));
+    request.promptHash = stableHash(prompt.text);
+    request.promptTokens = countTokens(prompt.text);
+    request.maxTokens = prompt.maxTokens;
+    request.firstToken = numberOr(exchange.header(http::lastEventIdHeader), -1) + 1;
+    request.priority = static_cast<int>(numberOr(exchange.header(http::priorityHeader), 0));
+    request.owner = exchange.header(http::ownerHeader);
+    const std::int64_t left =
+        numberOr(exchange.header(http::deadlineHeader), defaultDeadline.count());
+    request.deadline = monotonicNow() + Milliseconds(left);
+    return request;
+}
+
+void writeToken(std::ostream &out, const StreamRequest &request, TokenCount index)
+{
+    out << "id: " << index << "\ndata: {\"id\":\"" << request.id.value
+        << "\",\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":\""
+        << tokenAt(request.promptHash, index) << "\",\"finish_reason\":null}]}\n\n";
+}
+
+void writeEnd(std::ostream &out, const StreamRequest &request, TokenCount count)
+{
+    out << "id: " << count << "\ndata: {\"id\":\"" << request.id.value
+        << "\",\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":\"\","
+           "\"finish_reason\":\"length\"}],\"usage\":{\"prompt_tokens\":"
+        << request.promptTokens << ",\"completion_tokens\":" << count << "}}\n\ndata: [DONE]\n\n"
+        << std::flush;
+}
+
+class EngineService : public kernel::Service
+{
+public:
+    static constexpr std::string_view serviceName = "engine";
+
+    EngineService(std::string address, const EngineSettings &settings)
+        : m_address(std::move(address))
+        , m_engine(settings)
+        , m_server(serverLimits())
+    { }
+
+    std::string_view name() const override { return serviceName; }
+
+    void start() override
+    {
+        m_server.route("POST", "/v1/completions", [this](http::Exchange &e) { complete(e); });
+        m_server.route("DELETE", "/v1/streams/", [this](http::Exchange &e) { cancel(e); });
+        m_server.route("GET", "/v1/load", [this](http::Exchange &e) { sendLoad(e); });
+        m_server.route("GET", "/v1/sent/", [this](http::Exchange &e) { sendSent(e); });
+        m_server.route("GET", "/v1/stats", [this](http::Exchange &e) { sendStats(e); });
+        m_server.route("POST", "/v1/fault", [this](http::Exchange &e) { setFault(e); });
+        m_server.start(m_address);
+        LOG(INFO) << "target: listening address=" << m_address << " mode=engine";
+    }
+
+    void stop() override
+    {
+        m_isStopping = true;
+        m_server.stop();
+    }
+
+    static http::ServerLimits serverLimits()
+    {
+        http::ServerLimits limits;
+        limits.maxThreads = 1024;
+        return limits;
+    }
+
+private:
+    void complete(http::Exchange &exchange)
+    {
+        const Milliseconds opened = monotonicNow();
+        const Result<std::string> body = exchange.readBody(maxBodyBytes);
+        if (!body)
+            return exchange.sendError(body.error());
+        const Result<Prompt> prompt = readPrompt(*body);
+        if (!prompt)
+            return exchange.sendError(prompt.error());
+        const std::shared_ptr<Stream> stream = m_engine.open(makeStreamRequest(exchange, *prompt));
+        if (!stream) {
+            return exchange.sendError({ ErrorId::PromptTooLong, Verdict::NotRun,
+                                        "the request needs more memory than the engine has",
+                                        Milliseconds() });
+        }
+        const TokenCount first = numberOr(exchange.header(http::lastEventIdHeader), -1) + 1;
+        exchange.response().set(http::loadHeader, http::writeLoadReport(m_engine.report()));
+        try {
+            relay(exchange, stream, first, opened);
+        } catch (...) {
+            m_engine.leave(stream);
+            throw;
+        }
+        m_engine.leave(stream);
+    }
+
+    void relay(http::Exchange &exchange, const std::shared_ptr<Stream> &stream, TokenCount first,
+               Milliseconds opened)
+    {
+        std::ostream &out = exchange.startEvents();
+        out << std::flush;
+        TokenCount sent = first;
+        const http::PeerWatch caller(exchange.request());
+        for (;;) {
+            const Stream now = m_engine.waitFor(stream, sent, waitSlice);
+            if (caller.isGone() || m_isStopping)
+                return;
+            if (m_silence.appliesTo(opened)) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(waitSlice.count()));
+                continue;
+            }
+            for (; sent < now.generated; ++sent)
+                writeToken(out, now.request, sent);
+            out << std::flush;
+            if (!out)
+                return;
+            if (now.state == StreamState::Finished)
+                return writeEnd(out, now.request, sent);
+            if (now.isOver()) {
+                out << "event: error\ndata: {\"error\":{\"name\":\"stream-interrupted\"}}\n\n"
+                    << std::flush;
+                return;
+            }
+        }
+    }
+
+    void cancel(http::Exchange &exchange)
+    {
+        m_engine.cancel(RequestId(exchange.rest()));
+        exchange.send(HTTPResponse::HTTP_OK, jsonType, "{}");
+    }
+
+    void sendLoad(http::Exchange &exchange)
+    {
+        const routing::LoadReport report = m_engine.report();
+        exchange.response().set(http::loadHeader, http::writeLoadReport(report));
+        exchange.send(HTTPResponse::HTTP_OK, jsonType, stringify(loadJson(report)));
+    }
+
+    void sendSent(http::Exchange &exchange)
+    {
+        Poco::JSON::Array tokens;
+        for (const std::string &token : m_engine.generatedFor(RequestId(exchange.rest())))
+            tokens.add(token);
+        Poco::JSON::Object object;
+        object.set("tokens", tokens);
+        exchange.send(HTTPResponse::HTTP_OK, jsonType, stringify(object));
+    }
+
+    void sendStats(http::Exchange &exchange)
+    {
+        Poco::JSON::Object object = loadJson(m_engine.currentLoad());
+        const EnginePeaks peaks = m_engine.peaks();
+        object.set("peak_slots", peaks.slots);
+        object.set("peak_cold_slots", peaks.coldSlots);
+        object.set("peak_tokens", peaks.tokens);
+        exchange.send(HTTPResponse::HTTP_OK, jsonType, stringify(object));
+    }
+
+    void setFault(http::Exchange &exchange)
+    {
+        const std::string kind = exchange.query("kind");
+        if (kind == "silence")
+            m_silence.set();
+        else if (kind == "cold")
+            m_engine.turnCold();
+        exchange.send(HTTPResponse::HTTP_OK, jsonType, "{}");
+    }
+
+    std::string m_address;
+    Engine m_engine;
+    SilenceFault m_silence;
+    std::atomic<bool> m_isStopping { false };
+    http::Server m_server;
+};
+
+class PlainTarget : public kernel::Service
+{
+public:
+    static constexpr std::string_view serviceName = "plain";
+
+    PlainTarget(std::string address, Milliseconds callTime)
+        : m_address(std::move(address))
+        , m_service(callTime)
+        , m_server(EngineService::serverLimits())
+    { }
+
+    std::string_view name() const override { return serviceName; }
+
+    void start() override
+    {
+        m_server.route("POST", "/v1/calls/", [this](http::Exchange &e) { call(e); });
+        m_server.route("GET", "/v1/load", [this](http::Exchange &e) { sendLoad(e); });
+        m_server.route("GET", "/v1/executions", [this](http::Exchange &e) { sendExecutions(e); });
+        m_server.route("GET", "/v1/stats", [this](http::Exchange &e) { sendLoad(e); });
+        m_server.start(m_address);
+        LOG(INFO) << "target: listening address=" << m_address << " mode=plain";
+    }
+
+    void stop() override { m_server.stop(); }
+
+private:
+    void call(http::Exchange &exchange)
+    {
+        const Result<std::string> body = exchange.readBody(maxBodyBytes);
+        if (!body)
+            return exchange.sendError(body.error());
+        const std::string key = exchange.header(http::requestIdHeader, "unnamed");
+        m_service.execute(key, exchange.rest());
+        exchange.response().set(http::loadHeader, http::writeLoadReport(m_service.report()));
+        Poco::JSON::Object answer;
+        answer.set("request", key);
+        answer.set("call", exchange.rest());
+        answer.set("bytes", body->size());
+        exchange.send(HTTPResponse::HTTP_OK, jsonType, stringify(answer));
+    }
+
+    void sendLoad(http::Exchange &exchange)
+    {
+        const routing::LoadReport report = m_service.report();
+        Poco::JSON::Object object = loadJson(report);
+        object.set("peak_slots", m_service.peak());
+        exchange.response().set(http::loadHeader, http::writeLoadReport(report));
+        exchange.send(HTTPResponse::HTTP_OK, jsonType, stringify(object));
+    }
+
+    void sendExecutions(http::Exchange &exchange)
+    {
+        std::string lines;
+        for (const Execution &execution : m_service.executions()) {
+            Poco::JSON::Object line;
+            line.set("key", execution.key);
+            line.set("call", execution.call);
+            line.set("at_ms", execution.at.count());
+            lines += stringify(line) + '\n';
+        }
+        exchange.send(HTTPResponse::HTTP_OK, "application/x-ndjson", lines);
+    }
+
+    std::string m_address;
+    PlainService m_service;
+    http::Server m_server;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    kernel::captureStopSignals();
+    const kernel::Settings settings =
+        kernel::Settings::loadOrExit(argc, argv, "Stand-in for a target.", settingsSpecs());
+    const config::SectionReader target = settings.section("target");
+    const std::string address = target.text("address");
+    kernel::Loop loop;
+    kernel::Registry registry;
+    if (target.text("mode") == "plain") {
+        const Milliseconds callTime(settings.section("plain").integer("callMs"));
+        registry.add(std::make_unique<PlainTarget>(address, callTime));
+    } else {
+        registry.add(std::make_unique<EngineService>(
+            address, readEngineSettings(settings.section("engine"))));
+    }
+    return kernel::runDaemon(loop, registry);
+}
--- /dev/null
+++ b/include/egretmount/core/verdict.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <egretmount/core/names.h>
+
+namespace egretmount {
+
+/// @brief What is known about the execution of a request.
+///
+/// `NotRun` is claimed only where no byte of the request can have reached a target.
+enum class Verdict {
+    NotRun, ///< No target has received any of it, and none will.
+    MayHaveRun, ///< A target may have executed it, wholly or in part.
+    Ran, ///< A target has executed it and its answer is known.
+};
+
+template<>
+struct NameTable<Verdict>
+{
+    static constexpr std::array<NameEntry<Verdict>, 3> entries { {
+        { Verdict::NotRun, "not run" },
+        { Verdict::MayHaveRun, "may have run" },
+        { Verdict::Ran, "ran" },
+    } };
+};
+
+} // namespace egretmount
--- /dev/null
+++ b/src/config/adoption.cpp
@@ -0,0 +1,32 @@
+#include <egretmount/config/adoption.h>
+
+namespace egretmount::config {
+
+namespace {
+
+bool isPreferred(const FleetDocument &offered, const FleetDocument &present)
+{
+    if (offered.version != present.version)
+        return offered.version > present.version;
+    return offered.digest > present.digest;
+}
+
+} // namespace
+
+OfferResult offer(ConfigState &state, const std::string &text, Milliseconds now)
+{
+    if (state.document && state.text == text)
+        return { Adoption::Same, {} };
+    tl::expected<FleetDocument, std::vector<Problem>> parsed =
+        parseFleetDocument(text, "fleet document");
+    if (!parsed)
+        return { Adoption::Invalid, parsed.error() };
+    if (state.document && !isPreferred(*parsed, *state.document))
+        return { Adoption::Older, {} };
+    state.document = std::make_shared<const FleetDocument>(std::move(*parsed));
+    state.text = text;
+    state.adoptedAt = now;
+    return { Adoption::Adopted, {} };
+}
+
+} // namespace egretmount::config
--- /dev/null
+++ b/src/daemon/http/client.cpp
@@ -0,0 +1,115 @@
+#include "http/client.h"
+
+#include <iterator>
+
+#include <Poco/Net/HTTPMessage.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace egretmount::http {
+
+namespace {
+
+Poco::Timespan toTimespan(Milliseconds duration)
+{
+    return { duration.count() * 1000 };
+}
+
+} // namespace
+
+ClientCall::ClientCall(const std::string &address)
+    : m_address(address)
+{ }
+
+ClientCall::~ClientCall()
+{
+    // Closed under the lock, so that `abort` cannot meet a descriptor that is in use again.
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_isOpen = false;
+    m_socket = Poco::Net::StreamSocket();
+    m_session.reset();
+}
+
+void ClientCall::connect(Milliseconds connectTimeout, Milliseconds ioTimeout)
+{
+    checkAborted();
+    Poco::Net::StreamSocket socket;
+    socket.connect(m_address, toTimespan(connectTimeout));
+    socket.setReceiveTimeout(toTimespan(ioTimeout));
+    socket.setSendTimeout(toTimespan(ioTimeout));
+    socket.setNoDelay(true);
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_socket = socket;
+        m_isOpen = true;
+    }
+    // A session over a given socket knows no host, so it can never connect a second time.
+    m_session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+    m_session->setKeepAlive(false);
+    checkAborted();
+}
+
+void ClientCall::send(Poco::Net::HTTPRequest &request, const std::string &body)
+{
+    request.setKeepAlive(false);
+    request.setHost(m_address.toString());
+    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    std::ostream &stream = m_session->sendRequest(request);
+    stream.write(body.data(), static_cast<std::streamsize>(body.size()));
+    stream.flush();
+    if (!stream)
+        throw Poco::Net::ConnectionAbortedException("the request could not be sent");
+}
+
+std::istream &ClientCall::receive(Poco::Net::HTTPResponse &response)
+{
+    return m_session->receiveResponse(response);
+}
+
+void ClientCall::abort()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_isAborted = true;
+    if (!m_isOpen)
+        return;
+    try {
+        m_socket.shutdown();
+    } catch (const Poco::Exception &) {
+        // The peer was faster: the connection is closed already.
+        m_isOpen = false;
+    }
+}
+
+bool ClientCall::isAborted() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_isAborted;
+}
+
+void ClientCall::checkAborted() const
+{
+    if (isAborted())
+        throw Poco::Net::ConnectionAbortedException("the call was aborted");
+}
+
+std::unique_ptr<Reply> fetch(const std::string &address, Poco::Net::HTTPRequest &request,
+                             const std::string &body, Milliseconds timeout)
+{
+    std::unique_ptr<Reply> reply = std::make_unique<Reply>();
+    ClientCall call(address);
+    call.connect(timeout, timeout);
+    call.send(request, body);
+    std::istream &stream = call.receive(reply->response);
+    reply->body.assign(std::istreambuf_iterator<char>(stream), {});
+    return reply;
+}
+
+std::unique_ptr<Reply> fetch(const std::string &address, const std::string &path,
+                             Milliseconds timeout)
+{
+    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    return fetch(address, request, {}, timeout);
+}
+
+} // namespace egretmount::http
--- /dev/null
+++ b/src/daemon/http/peer_watch.cpp
@@ -0,0 +1,26 @@
+#include "http/peer_watch.h"
+
+#include <cerrno>
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/SocketImpl.h>
+#include <sys/socket.h>
+
+namespace egretmount::http {
+
+PeerWatch::PeerWatch(Poco::Net::HTTPServerRequest &request)
+    : m_descriptor(
+        dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().impl()->sockfd())
+{ }
+
+bool PeerWatch::isGone() const
+{
+    char byte = 0;
+    const ssize_t count = ::recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+        return false;
+    return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+} // namespace egretmount::http
--- /dev/null
+++ b/src/daemon/http/peer_watch.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Poco/Net/HTTPServerRequest.h>
+
+namespace egretmount::http {
+
+/// @brief Tells whether the caller of a request still holds its connection open.
+///
+/// Valid while the request is being served. A caller that closes its sending side counts as gone.
+class PeerWatch
+{
+public:
+    /// @pre The body of the request has been read.
+    explicit PeerWatch(Poco::Net::HTTPServerRequest &request);
+
+    /// @brief True once the caller has closed the connection. Never waits. Any thread.
+    bool isGone() const;
+
+private:
+    int m_descriptor;
+};
+
+} // namespace egretmount::http
--- /dev/null
+++ b/src/daemon/http/server.cpp
@@ -0,0 +1,290 @@
+#include "http/server.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <glog/logging.h>
+
+#include "http/headers.h"
+
+namespace egretmount::http {
+
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 64UL * 1024;
+constexpr int listenBacklog = 256;
+constexpr std::size_t threadStackBytes = 512UL * 1024;
+
+std::int64_t toWholeSeconds(Milliseconds duration)
+{
+    return (duration.count() + 999) / 1000;
+}
+
+} // namespace
+
+struct Server::Route
+{
+    std::string method;
+    std::string prefix;
+    Handler handler;
+};
+
+Exchange::Exchange(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+    : m_request(request)
+    , m_response(response)
+{
+    const Poco::URI uri(request.getURI());
+    m_path = uri.getPath();
+    m_query = uri.getQueryParameters();
+}
+
+std::string Exchange::query(const std::string &key, const std::string &fallback) const
+{
+    for (const std::pair<std::string, std::string> &parameter : m_query) {
+        if (parameter.first == key)
+            return parameter.second;
+    }
+    return fallback;
+}
+
+std::string Exchange::header(const std::string &name, const std::string &fallback) const
+{
+    return m_request.get(name, fallback);
+}
+
+Result<std::string> Exchange::readBody(std::size_t maxBytes)
+{
+    const bool isTooLong = m_request.hasContentLength()
+                           && m_request.getContentLength64() > static_cast<std::int64_t>(maxBytes);
+    std::string body;
+    std::string chunk(readChunkBytes, '\0');
+    while (!isTooLong && body.size() <= maxBytes) {
+        m_request.stream().read(chunk.data(), static_cast<std::streamsize>(chunk.size()));
+        const std::streamsize count = m_request.stream().gcount();
+        if (count <= 0)
+            break;
+        body.append(chunk, 0, static_cast<std::size_t>(count));
+    }
+    if (isTooLong || body.size() > maxBytes) {
+        m_response.setKeepAlive(false);
+        return fail(ErrorId::BodyTooLarge, Verdict::NotRun,
+                    "the body is over " + std::to_string(maxBytes) + " bytes");
+    }
+    return body;
+}
+
+void Exchange::send(HTTPResponse::HTTPStatus status, const std::string &contentType,
+                    const std::string &body)
+{
+    m_response.setStatusAndReason(status);
+    m_response.setContentType(contentType);
+    m_response.sendBuffer(body.data(), body.size());
+}
+
+void Exchange::sendError(const Error &error)
+{
+    m_response.set(verdictHeader, std::string(nameOf(error.verdict)));
+    m_response.set(errorHeader, std::string(nameOf(error.id)));
+    if (error.retryAfter > Milliseconds()) {
+        m_response.set("Retry-After", std::to_string(toWholeSeconds(error.retryAfter)));
+        m_response.set(retryAfterHeader, std::to_string(error.retryAfter.count()));
+    }
+    send(statusOf(error), "application/json", errorJson(error));
+}
+
+std::ostream &Exchange::startEvents()
+{
+    m_response.setStatusAndReason(HTTPResponse::HTTP_OK);
+    m_response.setContentType("text/event-stream");
+    m_response.set("Cache-Control", "no-store");
+    m_response.setChunkedTransferEncoding(true);
+    return m_response.send();
+}
+
+class Server::Factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit Factory(std::shared_ptr<std::vector<Route>> routes)
+        : m_routes(std::move(routes))
+    { }
+
+    Poco::Net::HTTPRequestHandler *
+    createRequestHandler(const Poco::Net::HTTPServerRequest &request) override;
+
+private:
+    class RequestHandler;
+
+    std::shared_ptr<std::vector<Route>> m_routes;
+};
+
+class Server::Factory::RequestHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit RequestHandler(std::shared_ptr<std::vector<Route>> routes)
+        : m_routes(std::move(routes))
+    { }
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response) override
+    {
+        try {
+            Exchange exchange(request, response);
+            serve(exchange);
+        } catch (const std::exception &error) {
+            // The head may be out already, so the connection itself has to tell the caller.
+            LOG_EVERY_N(INFO, 100)
+                << "http: an exchange broke off reason=\"" << error.what() << '"';
+            response.setKeepAlive(false);
+        }
+    }
+
+private:
+    void serve(Exchange &exchange) const
+    {
+        const Route *match = nullptr;
+        for (const Route &route : *m_routes) {
+            const bool isMatch =
+                exchange.request().getMethod() == route.method
+                && exchange.path().compare(0, route.prefix.size(), route.prefix) == 0;
+            if (isMatch && (!match || route.prefix.size() > match->prefix.size()))
+                match = &route;
+        }
+        if (!match) {
+            exchange.sendError(Error { ErrorId::UnknownPath, Verdict::NotRun,
+                                       "no such method and path", Milliseconds() });
+            return;
+        }
+        exchange.setRest(exchange.path().substr(match->prefix.size()));
+        match->handler(exchange);
+    }
+
+    std::shared_ptr<std::vector<Route>> m_routes;
+};
+
+Poco::Net::HTTPRequestHandler *
+Server::Factory::createRequestHandler(const Poco::Net::HTTPServerRequest &)
+{
+    return new RequestHandler(m_routes);
+}
+
+Server::Server(const ServerLimits &limits)
+    : m_limits(limits)
+    , m_routes(std::make_shared<std::vector<Route>>())
+{ }
+
+Server::~Server()
+{
+    stop();
+}
+
+void Server::route(const std::string &method, const std::string &prefix, Handler handler)
+{
+    m_routes->push_back({ method, prefix, std::move(handler) });
+}
+
+void Server::start(const std::string &address)
+{
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    const Poco::Timespan timeout(m_limits.idleTimeout.count() * 1000);
+    params->setTimeout(timeout);
+    params->setKeepAliveTimeout(timeout);
+    params->setMaxThreads(m_limits.maxThreads);
+    params->setMaxQueued(m_limits.maxQueued);
+    params->setThreadIdleTime(timeout);
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(address), true, false);
+        socket.listen(listenBacklog);
+        constexpr int minThreads = 4;
+        constexpr int idleSeconds = 30;
+        m_threads = std::make_unique<Poco::ThreadPool>(minThreads, m_limits.maxThreads + 1,
+                                                       idleSeconds, threadStackBytes);
+        m_server = std::make_unique<Poco::Net::HTTPServer>(new Factory(m_routes), *m_threads,
+                                                           socket, params);
+        m_server->start();
+    } catch (const Poco::Exception &error) {
+        throw std::runtime_error("cannot listen on " + address + ": " + error.displayText());
+    }
+}
+
+void Server::stop()
+{
+    if (!m_server)
+        return;
+    m_server->stopAll(true);
+    m_threads->joinAll();
+    m_server.reset();
+    m_threads.reset();
+}
+
+int Server::current() const
+{
+    return m_server ? m_server->currentConnections() : 0;
+}
+
+HTTPResponse::HTTPStatus statusOf(const Error &error)
+{
+    switch (error.id) {
+    case ErrorId::MalformedRequest:
+    case ErrorId::InvalidDocument:
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    case ErrorId::UnknownPath:
+    case ErrorId::UnknownService:
+        return HTTPResponse::HTTP_NOT_FOUND;
+    case ErrorId::Unauthenticated:
+        return HTTPResponse::HTTP_UNAUTHORIZED;
+    case ErrorId::BodyTooLarge:
+    case ErrorId::PromptTooLong:
+        return HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+    case ErrorId::DeadlinePassed:
+        return HTTPResponse::HTTP_GATEWAY_TIMEOUT;
+    case ErrorId::StaleDocument:
+        return HTTPResponse::HTTP_CONFLICT;
+    case ErrorId::TeamLimitReached:
+        return HTTPResponse::HTTP_TOO_MANY_REQUESTS;
+    case ErrorId::TargetFailed:
+    case ErrorId::StreamInterrupted:
+        return HTTPResponse::HTTP_BAD_GATEWAY;
+    case ErrorId::TicketRequired:
+        return HTTPResponse::HTTP_PRECONDITION_REQUIRED;
+    case ErrorId::TicketInvalid:
+        return HTTPResponse::HTTP_FORBIDDEN;
+    case ErrorId::TicketExpired:
+        return HTTPResponse::HTTP_GONE;
+    case ErrorId::PermitRefused:
+        return HTTPResponse::HTTP_CONFLICT;
+    case ErrorId::Overloaded:
+    case ErrorId::DeadlineUnreachable:
+    case ErrorId::NoTargetAvailable:
+    case ErrorId::NotReady:
+    case ErrorId::ShuttingDown:
+    case ErrorId::PeerUnreachable:
+        return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    }
+    return HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+}
+
+std::string errorJson(const Error &error)
+{
+    Poco::JSON::Object inner;
+    inner.set("id", static_cast<int>(error.id));
+    inner.set("name", std::string(nameOf(error.id)));
+    inner.set("message", error.detail);
+    inner.set("verdict", std::string(nameOf(error.verdict)));
+    inner.set("retry_after_ms", error.retryAfter.count());
+    Poco::JSON::Object outer;
+    outer.set("error", inner);
+    std::ostringstream stream;
+    outer.stringify(stream);
+    return stream.str();
+}
+
+} // namespace egretmount::http
--- /dev/null
+++ b/src/daemon/kernel/service.cpp
@@ -0,0 +1,21 @@
+#include "kernel/service.h"
+
+namespace egretmount::kernel {
+
+void Registry::startAll()
+{
+    for (const std::unique_ptr<Service> &service : m_services) {
+        service->start();
+        ++m_started;
+    }
+}
+
+void Registry::stopAll()
+{
+    while (m_started > 0) {
+        --m_started;
+        m_services[m_started]->stop();
+    }
+}
+
+} // namespace egretmount::kernel
