Command line, document changes, configuration reference

Cause: operators had no way to validate a document, see what a change does, or ask a running instance why a request goes where it goes.

Ruled out: a hand-written configuration page (it drifts), and comments kept by drain (Boost's INI reader drops them; the page says so).

--- /dev/null
+++ b/apps/cli/document_commands.cpp
@@ -0,0 +1,78 @@
+// Commands on fleet documents: check, diff, review, drain, resume, token-hash.
+
+#include <cstdio>
+#include <iostream>
+
+#include <egretmount/config/diff.h>
+#include <egretmount/config/edit.h>
+#include <egretmount/config/review.h>
+
+#include "command.h"
+
+namespace egretmount::cli {
+
+namespace {
+
+int printNextDocument(const std::vector<std::string> &arguments, bool isOut)
+{
+    const tl::expected<std::string, config::Problem> next =
+        config::withState(readFile(arguments[1]), arguments[0], isOut);
+    if (!next)
+        throw CommandError { exitFindings, config::describe(next.error()) };
+    std::cout << *next;
+    return exitDone;
+}
+
+} // namespace
+
+int runCheck(const std::vector<std::string> &arguments)
+{
+    const config::FleetDocument document = readDocument(arguments[0]);
+    std::cout << arguments[0] << ": version " << document.version << ", " << document.zones.size()
+              << " availability zones, " << document.services.size() << " services, "
+              << document.targets.size() << " targets, " << document.teams.size() << " teams\n";
+    return exitDone;
+}
+
+int runDiff(const std::vector<std::string> &arguments)
+{
+    const std::vector<config::Change> changes =
+        config::diff(readIniFile(arguments[0]), readIniFile(arguments[1]));
+    for (const config::Change &change : changes)
+        std::cout << config::describe(change) << '\n';
+    return changes.empty() ? exitDone : exitFindings;
+}
+
+int runReview(const std::vector<std::string> &arguments)
+{
+    const config::Review review =
+        config::review(readDocument(arguments[0]), readDocument(arguments[1]));
+    std::printf("%-24s %17s %21s %25s\n", "service", "targets", "slots", "tokens");
+    for (const config::ServiceCapacity &row : review.services)
+        std::printf("%-24s %7d -> %6d %9lld -> %8lld %11lld -> %10lld\n", row.service.value.c_str(),
+                    row.targetsBefore, row.targetsAfter, static_cast<long long>(row.before.slots),
+                    static_cast<long long>(row.after.slots),
+                    static_cast<long long>(row.before.tokens),
+                    static_cast<long long>(row.after.tokens));
+    for (const config::Finding &finding : review.findings)
+        std::cout << nameOf(finding.severity) << ": " << finding.message << '\n';
+    return review.isSafe() ? exitDone : exitFindings;
+}
+
+int runDrain(const std::vector<std::string> &arguments)
+{
+    return printNextDocument(arguments, true);
+}
+
+int runResume(const std::vector<std::string> &arguments)
+{
+    return printNextDocument(arguments, false);
+}
+
+int runTokenHash(const std::vector<std::string> &arguments)
+{
+    std::cout << toHex(sha256(arguments[0])) << '\n';
+    return exitDone;
+}
+
+} // namespace egretmount::cli
--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -10,6 +10,7 @@
 #include "http/headers.h"
 #include "peer_service.h"
 #include "relay.h"
+#include "status_service.h"
 
 namespace egretmount::entry {
 
@@ -91,6 +92,7 @@
     m_server.route("GET", "/health/live", [](http::Exchange &e) {
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
     });
+    m_registry.find<StatusService>().addRoutes(m_server);
     m_server.start(m_settings.httpAddress);
     LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
 }
