--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -73,8 +73,7 @@
 
 std::string describe(const Change &change)
 {
-    const std::string place =
-        '[' + change.section + ']' + (change.key.empty() ? "" : " " + change.key);
+    std::string place = '[' + change.section + ']' + (change.key.empty() ? "" : " " + change.key);
     const std::string after = shown(change, change.after);
     const std::string before = shown(change, change.before);
     switch (change.kind) {
