--- a/apps/load/caller.cpp
+++ b/apps/load/caller.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <Poco/JSONString.h>
 #include <Poco/NumberParser.h>
 
 #include "http/client.h"
@@ -35,16 +36,13 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(elapsed).count();
 }
 
-std::string makeBody(const CallerRequest &request)
+// The body up to the shared part of the prompt, which is sent without a copy.
+std::string makeBodyStart(const CallerRequest &request)
 {
-    Object body;
-    body.set("model", request.model);
-    body.set("prompt", request.prompt);
-    body.set("max_tokens", request.maxTokens);
-    body.set("stream", true);
-    std::ostringstream stream;
-    body.stringify(stream);
-    return stream.str();
+    std::string quoted = Poco::toJSON(request.prompt);
+    quoted.pop_back();
+    return "{\"max_tokens\":" + std::to_string(request.maxTokens)
+           + ",\"stream\":true,\"model\":" + Poco::toJSON(request.model) + ",\"prompt\":" + quoted;
 }
 
 void readError(const std::string &json, CallerResult &result)
@@ -131,12 +129,14 @@
 {
     http::ClientCall call(request.address);
     call.connect(connectTimeout, request.deadline + answerSlack);
+    result.isConnected = true;
     HTTPRequest head(HTTPRequest::HTTP_POST, "/v1/completions", Poco::Net::HTTPMessage::HTTP_1_1);
     head.setContentType("application/json");
     head.set("Authorization", "Bearer " + request.token);
     head.set(http::requestIdHeader, request.id.value);
     head.set(http::deadlineHeader, std::to_string(request.deadline.count()));
-    call.send(head, makeBody(request));
+    const std::string bodyStart = makeBodyStart(request);
+    call.send(head, { bodyStart, request.sharedPrompt, "\"}" });
     HTTPResponse response;
     std::istream &stream = call.receive(response);
     result.status = static_cast<int>(response.getStatus());
--- a/apps/load/caller.h
+++ b/apps/load/caller.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <egretmount/core/clock.h>
@@ -17,6 +18,7 @@
     RequestId id;
     std::string model;
     std::string prompt;
+    std::string_view sharedPrompt; ///< Follows `prompt`; plain ASCII that JSON need not escape.
     TokenCount maxTokens = 0;
     Milliseconds deadline; ///< Time left when the request is sent.
 };
@@ -35,6 +37,7 @@
     std::int64_t longestGapMicros = 0; ///< Longest time between two tokens.
     std::vector<std::string> tokens;
     bool isWhole = false; ///< Every token up to the end came, in order, once.
+    bool isConnected = false; ///< False: no byte was sent, another address may be tried.
 };
 
 /// @brief Sends a completion and reads its stream to the end. Blocks; never throws.
--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -1,179 +1,45 @@
 // Callers for demonstrations and experiments.
 
-#include <algorithm>
-#include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <iterator>
-#include <thread>
 
-#include <Poco/JSON/Array.h>
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <gflags/gflags.h>
 
-#include <egretmount/config/document.h>
-#include <egretmount/core/length_class.h>
-
-#include "caller.h"
-#include "http/client.h"
-#include "platform/platform_client.h"
+#include "demo.h"
 
 DEFINE_string(platform, "127.0.0.1:7000", "address of the platform");
 DEFINE_string(entry, "127.0.0.1:8001", "address of any entry instance, to ask for the others");
-DEFINE_string(token, "", "secret token of the team");
-DEFINE_string(model, "egret-llm", "service to ask");
+DEFINE_string(token, "", "demo: secret token of the team");
+DEFINE_string(model, "egret-llm", "demo: service to ask");
 DEFINE_string(documents, "docs", "folder with the texts for prompts");
 
 namespace {
 
-using namespace egretmount;
-using namespace egretmount::literals;
-using Poco::JSON::Object;
-
-constexpr Milliseconds callTimeout = 3'000_ms;
-constexpr Milliseconds demoDeadline = 60'000_ms;
-constexpr std::size_t bytesPerToken = 4;
-constexpr int shortRequests = 8;
 constexpr int exitFailed = 1;
+constexpr int exitBadUsage = 2;
 
-/// One request of the demonstration and what came of it.
-struct DemoRow
-{
-    load::CallerRequest request;
-    load::CallerResult result;
-    bool isSameAsSent = false;
-};
-
-std::string readFile(const std::string &path)
-{
-    std::ifstream stream(path);
-    return { std::istreambuf_iterator<char>(stream), {} };
-}
-
-std::string readDocuments()
-{
-    std::string all;
-    for (const char *file : { "/DESIGN.md", "/GLOSSARY.md", "/PROTOCOLS.md", "/OPERATIONS.md" })
-        all += readFile(FLAGS_documents + file);
-    return all;
-}
-
-std::string repeatTo(const std::string &text, std::size_t bytes)
-{
-    std::string repeated;
-    while (!text.empty() && repeated.size() < bytes)
-        repeated += text;
-    repeated.resize(std::min(bytes, repeated.size()));
-    return repeated;
-}
-
-std::vector<std::string> locate()
-{
-    std::vector<std::string> addresses;
-    const std::unique_ptr<http::Reply> reply = http::fetch(FLAGS_entry, "/v1/locate", callTimeout);
-    const Object::Ptr answer = Poco::JSON::Parser().parse(reply->body).extract<Object::Ptr>();
-    const Poco::JSON::Array::Ptr instances = answer->getArray("instances");
-    for (std::size_t i = 0; i < instances->size(); ++i) {
-        const Object::Ptr row = instances->getObject(static_cast<unsigned>(i));
-        addresses.push_back(row->getValue<std::string>("address"));
-    }
-    return addresses;
-}
+constexpr const char *usage = "Sends requests as callers do.\n\n"
+                              "  egretmount-load demo    sends a few requests and checks answers\n";
 
-DemoRow makeRow(const std::string &id, const std::string &address, std::string prompt)
+int runCommand(const std::string &command)
 {
-    constexpr TokenCount answerTokens = 24;
-    DemoRow row;
-    row.request = { address,           FLAGS_token,  RequestId(id), FLAGS_model,
-                    std::move(prompt), answerTokens, demoDeadline };
-    return row;
-}
-
-// Asks the engine that answered what it sent for the request.
-bool isSameAsSent(const config::FleetDocument &document, const load::CallerResult &result)
-{
-    const config::Target *target = config::findTarget(document, TargetId(result.target));
-    if (!target)
-        return false;
-    const std::unique_ptr<http::Reply> reply =
-        http::fetch(target->address, "/v1/sent/" + result.id.value, callTimeout);
-    const Object::Ptr answer = Poco::JSON::Parser().parse(reply->body).extract<Object::Ptr>();
-    const Poco::JSON::Array::Ptr sent = answer->getArray("tokens");
-    std::vector<std::string> tokens;
-    for (std::size_t i = 0; i < sent->size(); ++i)
-        tokens.push_back(sent->getElement<std::string>(static_cast<unsigned>(i)));
-    return tokens == result.tokens;
-}
-
-std::vector<DemoRow> makeRows(const std::vector<std::string> &addresses)
-{
-    constexpr std::size_t questionBytes = 700 * bytesPerToken;
-    constexpr std::size_t dossierBytes = 30'000 * bytesPerToken;
-    constexpr std::size_t archiveBytes = 240'000 * bytesPerToken;
-    const std::string text = readDocuments();
-    std::vector<DemoRow> rows;
-    const auto address = [&addresses, &rows] { return addresses[rows.size() % addresses.size()]; };
-    rows.push_back(makeRow("archive", address(), repeatTo(text, archiveBytes)));
-    rows.push_back(makeRow("dossier", address(), repeatTo(text, dossierBytes)));
-    for (int i = 0; i < shortRequests; ++i)
-        rows.push_back(
-            makeRow("question-" + std::to_string(i), address(),
-                    "Question " + std::to_string(i) + ". " + repeatTo(text, questionBytes)));
-    return rows;
-}
-
-void print(const DemoRow &row)
-{
-    constexpr double microsPerMilli = 1000.0;
-    const TokenCount promptTokens =
-        static_cast<TokenCount>(row.request.prompt.size() / bytesPerToken);
-    const std::string className(nameOf(lengthClassOf(promptTokens)));
-    std::printf("%-12s %-7s %9lld %9.1f %9.1f %6zu  %-10s %-12s %s\n", row.result.id.value.c_str(),
-                className.c_str(), static_cast<long long>(promptTokens),
-                static_cast<double>(row.result.firstTokenMicros) / microsPerMilli,
-                static_cast<double>(row.result.totalMicros) / microsPerMilli,
-                row.result.tokens.size(), row.result.target.c_str(), row.result.verdict.c_str(),
-                row.isSameAsSent && row.result.isWhole ? "whole" : row.result.error.c_str());
-}
-
-int runDemo()
-{
-    const std::optional<std::string> text = platform::readFleet(FLAGS_platform, 0, 0_ms);
-    const tl::expected<config::FleetDocument, std::vector<config::Problem>> document =
-        config::parseFleetDocument(text.value_or(""), "fleet");
-    const std::vector<std::string> addresses = locate();
-    if (!document || addresses.empty()) {
-        std::cerr << "no fleet document or no instance to call" << std::endl;
-        return exitFailed;
-    }
-    std::vector<DemoRow> rows = makeRows(addresses);
-    std::vector<std::thread> callers;
-    callers.reserve(rows.size());
-    for (DemoRow &row : rows)
-        callers.emplace_back([&row] { row.result = load::complete(row.request); });
-    for (std::thread &caller : callers)
-        caller.join();
-
-    std::printf("%-12s %-7s %9s %9s %9s %6s  %-10s %-12s %s\n", "request", "class", "prompt",
-                "first-ms", "total-ms", "tokens", "target", "verdict", "answer");
-    bool isAllWhole = true;
-    for (DemoRow &row : rows) {
-        row.isSameAsSent = isSameAsSent(*document, row.result);
-        isAllWhole = isAllWhole && row.isSameAsSent && row.result.isWhole;
-        print(row);
+    using namespace egretmount;
+    if (command == "demo") {
+        const load::DemoOptions options { FLAGS_platform, FLAGS_entry, FLAGS_token, FLAGS_model,
+                                          FLAGS_documents };
+        return load::runDemo(options) ? 0 : exitFailed;
     }
-    return isAllWhole ? 0 : exitFailed;
+    std::cerr << "egretmount-load: unknown command '" << command << "'; see --help" << std::endl;
+    return exitBadUsage;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("Sends requests as callers do.");
+    gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     try {
-        return runDemo();
+        return runCommand(argc > 1 ? argv[1] : "");
     } catch (const std::exception &error) {
         std::cerr << "egretmount-load: " << error.what() << std::endl;
         return exitFailed;
--- a/src/daemon/http/client.cpp
+++ b/src/daemon/http/client.cpp
@@ -51,11 +51,20 @@
 
 void ClientCall::send(Poco::Net::HTTPRequest &request, const std::string &body)
 {
+    send(request, std::vector<std::string_view> { body });
+}
+
+void ClientCall::send(Poco::Net::HTTPRequest &request, const std::vector<std::string_view> &body)
+{
+    std::size_t length = 0;
+    for (const std::string_view &part : body)
+        length += part.size();
     request.setKeepAlive(false);
     request.setHost(m_address.toString());
-    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    request.setContentLength64(static_cast<Poco::Int64>(length));
     std::ostream &stream = m_session->sendRequest(request);
-    stream.write(body.data(), static_cast<std::streamsize>(body.size()));
+    for (const std::string_view &part : body)
+        stream.write(part.data(), static_cast<std::streamsize>(part.size()));
     stream.flush();
     if (!stream)
         throw Poco::Net::ConnectionAbortedException("the request could not be sent");
--- a/src/daemon/http/client.h
+++ b/src/daemon/http/client.h
@@ -3,6 +3,8 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -37,6 +39,9 @@
     /// @throws Poco::Exception on failure: part of the request may have arrived.
     void send(Poco::Net::HTTPRequest &request, const std::string &body);
 
+    /// @brief The same with a body in parts, which are not copied together.
+    void send(Poco::Net::HTTPRequest &request, const std::vector<std::string_view> &body);
+
     /// @brief Waits for the head of the response. @return The stream of its body.
     /// @throws Poco::Exception on failure or after the I/O timeout.
     std::istream &receive(Poco::Net::HTTPResponse &response);
