Ask a credit service for the room at each target

The dispatcher took a target's whole capacity as its own, so that N instances together could send N times what a target bears. It now asks a credit service for its share before each decision, tells it what it takes and gives back, passes load reports and first-token times on, and borrows when no own share has room. Counting the in-flight work only in the dispatcher was ruled out: a lender must know what it may still lend.

--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -9,6 +9,7 @@
 #include <egretmount/core/request.h>
 #include <egretmount/routing/choice.h>
 
+#include "credit_service.h"
 #include "entry_settings.h"
 #include "kernel/loop.h"
 #include "kernel/service.h"
@@ -63,15 +64,21 @@
     {
         Request request;
         TargetId target;
+        Milliseconds assignedAt;
         bool hasFirstToken = false;
     };
 
     void takeDocument(const config::FleetDocument &document);
     void decide(const Request &request, const Decided &decided);
+    void assign(routing::TargetView &view, const Request &request, const Decided &decided);
+    void borrow(const Request &request, const Decided &decided);
+    void refreshShares();
+    Error overloadError();
     routing::TargetView *find(const TargetId &id);
 
     kernel::Loop &m_loop;
     kernel::Registry &m_registry;
+    CreditService *m_credit = nullptr; // set by start
     ZoneId m_zone;
     Random m_random;
     std::vector<routing::TargetView> m_targets;
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -6,6 +6,7 @@
 
 #include "caller_service.h"
 #include "config_service.h"
+#include "credit_service.h"
 #include "dispatch_service.h"
 #include "entry_settings.h"
 #include "kernel/daemon.h"
@@ -41,6 +42,7 @@
     registry.add(std::make_unique<entry::ConfigService>(loop, own));
     entry::PeerService &peers =
         registry.add(std::make_unique<entry::PeerService>(loop, registry, own));
+    registry.add(std::make_unique<entry::CreditService>(loop, registry, own));
     registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
     registry.add(std::make_unique<entry::WatchService>(loop));
     entry::CallerService &callers =
