Queue requests in lanes by length

Cause: a request was refused as soon as no target had room, and the choice of target added the target's report to the own waiting prompts, which counted own work twice. Long and short prompts had no rules of their own.

The dispatcher is now a pure state with events (submit, first token, report, finish, share change, tick) that answers with assignments and refusals. Policies elastic, static, priority and fifo are one setting. A waiting request is refused at the last moment at which it could still finish, and withdrawn when its caller leaves.

Ruled out: sorting the lane again as requests age (linear in the queue); a strict order of the lanes (a long prompt then never finds memory beside a stream of short ones).

No load was measured yet.

--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -1,6 +1,6 @@
 #include "dispatch_service.h"
 
-#include <algorithm>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -12,9 +12,24 @@
 
 namespace {
 
-constexpr Milliseconds failurePause = 1'000_ms;
-constexpr Milliseconds leastRetryAfter = 200_ms;
-constexpr Milliseconds mostRetryAfter = 1'200_ms;
+constexpr Milliseconds tickInterval = 10_ms;
+
+std::vector<routing::TargetView> viewsOf(const config::FleetDocument &document)
+{
+    std::vector<routing::TargetView> views;
+    for (const config::Target &target : document.targets) {
+        routing::TargetView view;
+        view.id = target.id;
+        view.service = target.service;
+        view.zone = target.zone;
+        view.address = target.address;
+        view.acceptsNewWork = config::acceptsNewWork(document, target);
+        view.capacity = target.capacity;
+        view.spendable = target.capacity;
+        views.push_back(std::move(view));
+    }
+    return views;
+}
 
 } // namespace
 
@@ -22,14 +37,19 @@
                                  const EntrySettings &settings)
     : m_loop(loop)
     , m_registry(registry)
-    , m_zone(settings.zone)
-    , m_random(static_cast<std::uint64_t>(monotonicNow().count()))
-{ }
+{
+    m_state.policy = settings.lanePolicy;
+    m_state.ownZone = settings.zone;
+    m_state.random =
+        Random(static_cast<std::uint64_t>(monotonicNow().count()) ^ stableHash(settings.id.value));
+}
 
 void DispatchService::start()
 {
-    m_registry.find<ConfigService>().onDocument(
-        [this](const config::FleetDocument &document) { takeDocument(document); });
+    ConfigService &config = m_registry.find<ConfigService>();
+    config.onDocument(
+        [this, &config](const config::FleetDocument &) { takeDocument(config.document()); });
+    m_loop.every(tickInterval, [this] { carryOut(routing::tick(m_state, monotonicNow())); });
 }
 
 void DispatchService::submit(const Request &request, Decided decided)
@@ -37,95 +57,88 @@
     m_loop.post([this, request, decided = std::move(decided)] { decide(request, decided); });
 }
 
-void DispatchService::noteFirstToken(const RequestId &id)
+void DispatchService::withdraw(const RequestId &id)
 {
     m_loop.post([this, id] {
-        const auto held = m_held.find(id);
-        if (held == m_held.end() || held->second.hasFirstToken)
-            return;
-        held->second.hasFirstToken = true;
-        routing::TargetView *view = find(held->second.target);
-        if (view)
-            view->waitingPromptTokens -= held->second.request.promptTokens;
+        if (m_undecided.erase(id) > 0)
+            routing::withdraw(m_state, id);
     });
 }
 
+void DispatchService::noteFirstToken(const RequestId &id)
+{
+    m_loop.post([this, id] { carryOut(routing::noteFirstToken(m_state, id, monotonicNow())); });
+}
+
 void DispatchService::noteReport(const TargetId &target, const routing::LoadReport &report)
 {
     m_loop.post([this, target, report] {
-        routing::TargetView *view = find(target);
-        if (view)
-            view->report = report;
+        carryOut(routing::noteReport(m_state, target, report, monotonicNow()));
     });
 }
 
-void DispatchService::finish(const RequestId &id, Outcome outcome)
+void DispatchService::finish(const RequestId &id, Outcome outcome, TokenCount generated)
 {
-    m_loop.post([this, id, outcome] {
-        const auto held = m_held.find(id);
-        if (held == m_held.end())
-            return;
-        routing::TargetView *view = find(held->second.target);
-        if (view) {
-            const Request &request = held->second.request;
-            view->inFlight.tokens -= request.memoryTokens();
-            --view->inFlight.slots;
-            if (!held->second.hasFirstToken)
-                view->waitingPromptTokens -= request.promptTokens;
-            if (outcome == Outcome::Failed)
-                view->failedUntil = monotonicNow() + failurePause;
-        }
-        m_held.erase(held);
+    m_loop.post([this, id, outcome, generated] {
+        carryOut(routing::finish(m_state, id, outcome, generated, monotonicNow()));
     });
 }
 
-void DispatchService::takeDocument(const config::FleetDocument &document)
+bool DispatchService::takeRetry()
 {
-    std::vector<routing::TargetView> views;
-    for (const config::Target &target : document.targets) {
-        routing::TargetView view;
-        const routing::TargetView *known = find(target.id);
-        if (known)
-            view = *known;
-        view.id = target.id;
-        view.service = target.service;
-        view.zone = target.zone;
-        view.address = target.address;
-        view.acceptsNewWork = config::acceptsNewWork(document, target);
-        view.spendable = target.capacity;
-        views.push_back(view);
-    }
-    m_targets = std::move(views);
+    return m_loop.call([this] { return admission::takeRetry(m_retries); });
+}
+
+void DispatchService::setSpendable(const TargetId &target, const config::Capacity &spendable)
+{
+    carryOut(routing::setSpendable(m_state, target, spendable, monotonicNow()));
+}
+
+void DispatchService::takeDocument(const std::shared_ptr<const config::FleetDocument> &document)
+{
+    m_document = document;
+    carryOut(routing::setTargets(m_state, viewsOf(*document), monotonicNow()));
 }
 
 void DispatchService::decide(const Request &request, const Decided &decided)
 {
-    const Milliseconds now = monotonicNow();
-    const std::shared_ptr<const config::FleetDocument> document =
-        m_registry.find<ConfigService>().document();
-    const config::Service *service =
-        document ? config::findService(*document, request.service) : nullptr;
-    if (!service)
+    if (!m_document || !config::findService(*m_document, request.service))
         return decided(fail(ErrorId::UnknownService, Verdict::NotRun, "no such service"));
-    const routing::TargetView *choice = routing::chooseTarget(m_targets, request, m_zone, now);
-    if (!choice) {
-        return decided(fail(ErrorId::Overloaded, Verdict::NotRun, "no target has room",
-                            m_random.between(leastRetryAfter, mostRetryAfter)));
+    const config::Team *team = config::findTeam(*m_document, request.team);
+    admission::noteRequest(m_retries);
+    if (!m_undecided.emplace(request.id, decided).second) {
+        return decided(fail(ErrorId::Overloaded, Verdict::NotRun,
+                            "a request with this id is being served",
+                            admission::retryAfter({}, m_state.random)));
     }
-    routing::TargetView *view = find(choice->id);
-    view->inFlight.tokens += request.memoryTokens();
-    ++view->inFlight.slots;
-    view->waitingPromptTokens += request.promptTokens;
-    m_held[request.id] = { request, view->id, false };
-    decided(Assignment { view->id, view->address, service->silenceTimeout });
+    const double weight = team ? static_cast<double>(team->weight) : 1.0;
+    carryOut(routing::submit(m_state, request, weight, monotonicNow()));
+}
+
+void DispatchService::carryOut(const routing::Decisions &decisions)
+{
+    for (const routing::Assigned &assigned : decisions.assigned)
+        answer(assigned.request, makeAssignment(assigned));
+    for (const routing::Refused &refused : decisions.refused)
+        answer(refused.request, tl::make_unexpected(refused.error));
+}
+
+void DispatchService::answer(const RequestId &id, Result<Assignment> result)
+{
+    const auto found = m_undecided.find(id);
+    if (found == m_undecided.end())
+        return;
+    const Decided decided = std::move(found->second);
+    m_undecided.erase(found);
+    decided(std::move(result));
 }
 
-routing::TargetView *DispatchService::find(const TargetId &id)
+Result<Assignment> DispatchService::makeAssignment(const routing::Assigned &assigned)
 {
-    const auto found =
-        std::find_if(m_targets.begin(), m_targets.end(),
-                     [&id](const routing::TargetView &view) { return view.id == id; });
-    return found == m_targets.end() ? nullptr : &*found;
+    const routing::TargetView *view = routing::findView(m_state, assigned.target);
+    const config::Service *service = config::findService(*m_document, view->service);
+    const Milliseconds silence = service ? service->silenceTimeout : Milliseconds();
+    return Assignment { view->id, view->address, silence, assigned.enginePriority };
 }
 
 } // namespace egretmount::entry
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <functional>
-#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <egretmount/core/error.h>
-#include <egretmount/core/random.h>
 #include <egretmount/core/request.h>
-#include <egretmount/routing/choice.h>
+#include <egretmount/routing/dispatcher.h>
 
 #include "entry_settings.h"
 #include "kernel/loop.h"
@@ -21,17 +22,12 @@
     TargetId target;
     std::string address;
     Milliseconds silenceTimeout;
+    int enginePriority = 0; ///< To be stated to the target.
 };
 
-/// @brief How the work at a target ended.
-enum class Outcome {
-    Completed,
-    Cancelled, ///< The caller left or the deadline passed; the target is not to blame.
-    Failed, ///< The target broke off or could not be reached.
-};
+using routing::Outcome;
 
-/// @brief Decides where requests go. All methods but `submit` and `finish` are for the loop's
-/// thread.
+/// @brief Carries out the decisions of `routing::DispatchState` on requests of this instance.
 class DispatchService : public kernel::Service
 {
 public:
@@ -44,9 +40,13 @@
     std::string_view name() const override { return serviceName; }
     void start() override;
 
-    /// @brief Asks for a target. `decided` is called once, on the loop's thread. Any thread.
+    /// @brief Asks for a target. `decided` is called once, on the loop's thread, by the request's
+    ///        deadline at the latest, unless the request is withdrawn. Any thread.
     void submit(const Request &request, Decided decided);
 
+    /// @brief Takes back a request that is not decided yet; its `decided` is destroyed. Any thread.
+    void withdraw(const RequestId &id);
+
     /// @brief Tells that the first token of a request has come. Any thread.
     void noteFirstToken(const RequestId &id);
 
@@ -54,28 +54,31 @@
     void noteReport(const TargetId &target, const routing::LoadReport &report);
 
     /// @brief Gives back what a request held. Every granted request must be finished. Any thread.
-    void finish(const RequestId &id, Outcome outcome);
+    /// @param generated Tokens of the answer, as far as it came.
+    void finish(const RequestId &id, Outcome outcome, TokenCount generated = 0);
+
+    /// @brief Spends one internal retry. @return False if the budget is used up. Any thread.
+    bool takeRetry();
+
+    /// @brief Sets this instance's share of a target. Loop thread only.
+    void setSpendable(const TargetId &target, const config::Capacity &spendable);
 
-    const std::vector<routing::TargetView> &targets() const { return m_targets; }
+    /// @brief What is known of the targets. Loop thread only.
+    const std::vector<routing::TargetView> &targets() const { return m_state.targets; }
 
 private:
-    struct Held
-    {
-        Request request;
-        TargetId target;
-        bool hasFirstToken = false;
-    };
-
-    void takeDocument(const config::FleetDocument &document);
+    void takeDocument(const std::shared_ptr<const config::FleetDocument> &document);
     void decide(const Request &request, const Decided &decided);
-    routing::TargetView *find(const TargetId &id);
+    void carryOut(const routing::Decisions &decisions);
+    void answer(const RequestId &id, Result<Assignment> result);
+    Result<Assignment> makeAssignment(const routing::Assigned &assigned);
 
     kernel::Loop &m_loop;
     kernel::Registry &m_registry;
-    ZoneId m_zone;
-    Random m_random;
-    std::vector<routing::TargetView> m_targets;
-    std::map<RequestId, Held> m_held;
+    std::shared_ptr<const config::FleetDocument> m_document;
+    routing::DispatchState m_state;
+    admission::RetryBudget m_retries;
+    std::unordered_map<RequestId, Decided> m_undecided;
 };
 
 } // namespace egretmount::entry
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -51,6 +51,12 @@
               { "drainSlackMs", ValueKind::Integer, "ms", "1000", 0, highestMilliseconds, "", false,
                 "Time added to locateMaxAgeMs before a leaving instance closes." },
           } },
+        { "policy",
+          false,
+          {
+              { "lanes", ValueKind::Choice, "", "elastic", 0, 0, "elastic|static|priority|fifo",
+                false, "How short and long prompts share the targets of a service." },
+          } },
     };
 }
 
@@ -79,6 +85,8 @@
     read.maxDeadline = Milliseconds(limits.integer("maxDeadlineMs"));
     read.locateMaxAge = Milliseconds(limits.integer("locateMaxAgeMs"));
     read.drainSlack = Milliseconds(limits.integer("drainSlackMs"));
+    read.lanePolicy = valueNamed<routing::LanePolicy>(settings.section("policy").text("lanes"))
+                          .value_or(routing::LanePolicy::Elastic);
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <egretmount/config/schema.h>
 #include <egretmount/core/clock.h>
 #include <egretmount/core/ids.h>
+#include <egretmount/routing/lane_policy.h>
 
 #include "kernel/settings.h"
 
@@ -26,6 +27,7 @@
     Milliseconds maxDeadline;
     Milliseconds locateMaxAge;
     Milliseconds drainSlack;
+    routing::LanePolicy lanePolicy = routing::LanePolicy::Elastic;
 };
 
 /// @brief Specification of the settings.
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay.h"
 
+#include <chrono>
 #include <future>
 
 #include <Poco/Exception.h>
@@ -25,6 +26,7 @@
 constexpr Milliseconds connectTimeout = 500_ms;
 constexpr Milliseconds cancelTimeout = 500_ms;
 constexpr Milliseconds retryAfterFailure = 500_ms;
+constexpr Milliseconds callerCheckInterval = 50_ms;
 constexpr int maxAttempts = 3;
 constexpr TokenCount bytesPerToken = 4;
 constexpr TokenCount defaultMaxTokens = 16;
@@ -49,8 +51,10 @@
     return http;
 }
 
-// Waits for the decision; it always comes, as the loop answers every request at once or later.
-Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request)
+// Waits for the decision; it always comes, as the loop answers every request by its deadline. A
+// request whose caller leaves meanwhile is withdrawn. `watch` may be null.
+Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request,
+                                 const RequestWatch *watch)
 {
     using Decision = std::promise<Result<Assignment>>;
     std::shared_ptr<Decision> promise = std::make_shared<Decision>();
@@ -59,6 +63,19 @@
     dispatch.submit(request, [promise = std::move(promise)](Result<Assignment> result) {
         promise->set_value(std::move(result));
     });
+    const std::chrono::milliseconds interval(callerCheckInterval.count());
+    while (watch && decision.wait_for(interval) != std::future_status::ready) {
+        if (watch->interruption() != Interruption::CallerGone)
+            continue;
+        dispatch.withdraw(request.id);
+        try {
+            if (decision.get())
+                dispatch.finish(request.id, Outcome::Cancelled);
+        } catch (const std::future_error &) {
+            // It was withdrawn in time.
+        }
+        return fail(ErrorId::StreamInterrupted, Verdict::NotRun, "the caller has left");
+    }
     return decision.get();
 }
 
@@ -114,7 +131,7 @@
 {
     Result<void> result = attempt();
     while (!result && m_attempts < maxAttempts && m_watch->interruption() == Interruption::None
-           && result.error().id == ErrorId::TargetFailed) {
+           && result.error().id == ErrorId::TargetFailed && m_dispatch.takeRetry()) {
         LOG(INFO) << "callers: trying another target request=" << m_request.id.value
                   << " offset=" << m_reassembly.nextOffset;
         result = attempt();
@@ -126,7 +143,7 @@
 Result<void> CompletionRelay::attempt()
 {
     ++m_attempts;
-    const Result<Assignment> assignment = requestTarget(m_dispatch, m_request);
+    const Result<Assignment> assignment = requestTarget(m_dispatch, m_request, m_watch.get());
     if (!assignment) {
         Error error = assignment.error();
         error.verdict = m_verdict;
@@ -138,7 +155,7 @@
     if (isInterrupted)
         cancelAt(assignment->address);
     const Outcome failed = isInterrupted ? Outcome::Cancelled : Outcome::Failed;
-    m_dispatch.finish(m_request.id, result ? Outcome::Completed : failed);
+    m_dispatch.finish(m_request.id, result ? Outcome::Completed : failed, m_reassembly.nextOffset);
     return result;
 }
 
@@ -150,8 +167,10 @@
     Result<void> result;
     try {
         call->connect(connectTimeout, assignment.silenceTimeout);
+        Request prioritized = m_request;
+        prioritized.priority = assignment.enginePriority;
         HTTPRequest request =
-            makeTargetRequest("/v1/completions", m_request, m_registry.find<PeerService>());
+            makeTargetRequest("/v1/completions", prioritized, m_registry.find<PeerService>());
         if (m_reassembly.nextOffset > 0)
             request.set(http::lastEventIdHeader, std::to_string(m_reassembly.nextOffset - 1));
         m_verdict = Verdict::MayHaveRun;
@@ -245,7 +264,7 @@
                const std::string &body)
 {
     DispatchService &dispatch = registry.find<DispatchService>();
-    const Result<Assignment> assignment = requestTarget(dispatch, request);
+    const Result<Assignment> assignment = requestTarget(dispatch, request, nullptr);
     exchange.response().set(http::requestIdHeader, request.id.value);
     if (!assignment)
         return exchange.sendError(assignment.error());
--- a/include/egretmount/routing/choice.h
+++ b/include/egretmount/routing/choice.h
@@ -1,13 +1,25 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
 #include <vector>
 
 #include <egretmount/config/document.h>
 #include <egretmount/core/request.h>
+#include <egretmount/routing/lane_policy.h>
 #include <egretmount/routing/load_report.h>
+#include <egretmount/routing/rates.h>
 
 namespace egretmount::routing {
 
+/// @brief A prompt that this instance sent to a target and that has no first token so far.
+struct PendingPrompt
+{
+    RequestId request;
+    TokenCount tokens = 0;
+    Milliseconds sentAt;
+};
+
 /// @brief What one instance knows of one target.
 struct TargetView
 {
@@ -16,21 +28,70 @@
     ZoneId zone;
     std::string address;
     bool acceptsNewWork = true;
+    config::Capacity capacity; ///< The target's whole capacity when warm.
     config::Capacity spendable; ///< This instance's share of the target's capacity.
     config::Capacity inFlight; ///< Held by this instance's own requests.
-    TokenCount waitingPromptTokens = 0; ///< Own prompts without a first token so far.
+    std::vector<PendingPrompt> pending; ///< Own prompts without a first token so far.
+    TokenCount waitingPromptTokens = 0; ///< Sum of `pending`.
+    int longPending = 0; ///< Long prompts in `pending`.
     LoadReport report; ///< The target's own, lagging word.
+    TokenCount othersWaiting = 0; ///< Of the report, what is not this instance's own work.
+    Milliseconds reportedAt;
     Milliseconds failedUntil; ///< Not chosen before; set after a failure.
+    Milliseconds rampStart; ///< When it came back, for the slow start.
+    bool isRamping = false; ///< It came back since this instance first knew it.
+    Rates rates;
 };
 
+/// @brief After its return a target is given its full share only gradually, over this time.
+constexpr Milliseconds slowStart = Milliseconds(4'000);
+
+/// @brief A report is taken to be this old when it arrives.
+constexpr Milliseconds assumedReportLag = Milliseconds(200);
+
+/// @brief The part of its share that a target may be given, from 0.1 to 1, by time since its
+/// return.
+double rampShare(const TargetView &view, Milliseconds now);
+
 /// @brief True if the instance's share of a target has room for a request.
-bool hasRoom(const TargetView &view, const Request &request);
-
-/// @brief Chooses the target for a request: of those with room, the one with the least work before
-///        it, those in the instance's own availability zone first among equals.
-/// @return Null if no target has room.
-/// @complexity Linear in the number of views.
-const TargetView *chooseTarget(const std::vector<TargetView> &views, const Request &request,
-                               const ZoneId &ownZone, Milliseconds now);
+bool hasRoom(const TargetView &view, const Request &request, Milliseconds now);
+
+/// @brief True if an idle share would hold the request.
+bool fitsShare(const TargetView &view, const Request &request);
+
+/// @brief Counts a request that is sent to a target.
+void noteSent(TargetView &view, const Request &request, Milliseconds now);
+
+/// @brief Counts the first token of a request.
+void notePrefilled(TargetView &view, const Request &request);
+
+/// @brief Gives back what a request held.
+void noteEnded(TargetView &view, const Request &request);
+
+/// @brief Takes in a report, without counting own work in it twice.
+void noteReport(TargetView &view, const LoadReport &report, Milliseconds now);
+
+/// @brief Time that a prompt waits at a target before its own prefill starts, in milliseconds.
+double expectedWaitMs(const TargetView &view, LengthClass length, LanePolicy policy,
+                      Milliseconds now);
+
+/// @brief Views among which a request may choose: `order[first]` to `order[last - 1]`.
+struct Candidates
+{
+    const std::vector<TargetView> &views;
+    const std::vector<std::size_t> &order;
+    std::size_t first = 0;
+    std::size_t last = 0;
+};
+
+/// @brief Chooses the target for a request: of those with room, the one with the shortest wait,
+///        those in the instance's own availability zone first among equals.
+///
+/// Under the elastic policy a target takes one long prompt at a time, and short prompts prefer
+/// targets without one.
+/// @return Index of the view; nothing if no target has room.
+/// @complexity Linear in the number of candidates.
+std::optional<std::size_t> chooseTarget(const Candidates &candidates, const Request &request,
+                                        LanePolicy policy, const ZoneId &ownZone, Milliseconds now);
 
 } // namespace egretmount::routing
--- /dev/null
+++ b/include/egretmount/routing/rates.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <egretmount/core/clock.h>
+#include <egretmount/core/ids.h>
+
+namespace egretmount::routing {
+
+/// @brief Running estimates of how fast a target, or all targets of a service, work.
+///
+/// An estimate without samples for `ratesLifetime` is not used: if a bad one refused all requests,
+/// no new sample could ever mend it.
+struct Rates
+{
+    double overheadMs = 0; ///< First-token time of a short prompt.
+    double prefillTokensPerMs = 0; ///< Zero: not measured yet.
+    double msPerToken = 0; ///< Of one stream; zero: not measured yet.
+    double outputShare = 1; ///< Part of `maxTokens` that answers use.
+    Milliseconds prefillMeasured;
+    Milliseconds decodeMeasured;
+};
+
+/// @brief Used while a target's prefill rate is not measured.
+constexpr double assumedPrefillTokensPerMs = 100;
+
+constexpr Milliseconds ratesLifetime = Milliseconds(3'000);
+
+/// @brief Takes in a first token.
+/// @param tokens The prompt's tokens and those that waited before it.
+void noteFirstToken(Rates &rates, TokenCount tokens, Milliseconds elapsed, Milliseconds now);
+
+/// @brief Takes in a whole answer. @param elapsed From the first token to the last.
+void noteAnswer(Rates &rates, TokenCount generated, TokenCount maxTokens, Milliseconds elapsed,
+                Milliseconds now);
+
+/// @brief The prefill rate, or the assumed one. Above zero.
+double prefillRate(const Rates &rates, Milliseconds now);
+
+/// @brief Time that a request takes from being sent to its last token, if nothing is before it.
+/// @return Zero for what is not measured.
+Milliseconds expectedRunTime(const Rates &rates, TokenCount promptTokens, TokenCount maxTokens,
+                             Milliseconds now);
+
+} // namespace egretmount::routing
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -1,38 +1,146 @@
 #include <egretmount/routing/choice.h>
 
+#include <algorithm>
 #include <tuple>
 
 namespace egretmount::routing {
 
 namespace {
 
-// Lower is better.
-std::tuple<TokenCount, bool, std::int64_t, const TargetId &> rank(const TargetView &view,
-                                                                  const ZoneId &ownZone)
+constexpr double leastRampShare = 0.1;
+constexpr double longPrefillPenaltyMs = 50; // a long prefill slows the whole batch
+constexpr double equalWaitMs = 4; // shorter differences count as equal
+
+struct Rank
 {
-    return { view.waitingPromptTokens + view.report.waitingPromptTokens, view.zone != ownZone,
-             view.inFlight.slots, view.id };
+    std::int64_t wait = 0;
+    bool isOtherZone = false;
+    std::int64_t slots = 0;
+
+    bool isBetterThan(const Rank &other) const
+    {
+        return std::tie(wait, isOtherZone, slots)
+               < std::tie(other.wait, other.isOtherZone, other.slots);
+    }
+};
+
+double othersWaiting(const TargetView &view, Milliseconds now)
+{
+    const double elapsed = static_cast<double>((now - view.reportedAt).count());
+    const double done = elapsed * prefillRate(view.rates, now);
+    return std::max(0.0, static_cast<double>(view.othersWaiting) - done);
 }
 
 } // namespace
 
-bool hasRoom(const TargetView &view, const Request &request)
+double rampShare(const TargetView &view, Milliseconds now)
+{
+    const Milliseconds since = now - view.rampStart;
+    if (!view.isRamping || since >= slowStart)
+        return 1;
+    const double share =
+        static_cast<double>(since.count()) / static_cast<double>(slowStart.count());
+    return std::max(leastRampShare, share);
+}
+
+bool hasRoom(const TargetView &view, const Request &request, Milliseconds now)
+{
+    const double share = rampShare(view, now);
+    const double slots = std::max(1.0, static_cast<double>(view.spendable.slots) * share);
+    if (view.inFlight.slots >= std::min(view.spendable.slots, static_cast<std::int64_t>(slots)))
+        return false;
+    if (view.spendable.tokens == 0 || view.inFlight.slots == 0)
+        return fitsShare(view, request);
+    const double tokens = static_cast<double>(view.spendable.tokens) * share;
+    return static_cast<double>(view.inFlight.tokens + request.memoryTokens()) <= tokens;
+}
+
+bool fitsShare(const TargetView &view, const Request &request)
 {
     const bool hasTokens =
-        view.spendable.tokens == 0
-        || view.inFlight.tokens + request.memoryTokens() <= view.spendable.tokens;
-    return hasTokens && view.inFlight.slots < view.spendable.slots;
+        view.capacity.tokens == 0 || request.memoryTokens() <= view.spendable.tokens;
+    return hasTokens && view.spendable.slots > 0;
+}
+
+void noteSent(TargetView &view, const Request &request, Milliseconds now)
+{
+    view.inFlight.tokens += request.memoryTokens();
+    ++view.inFlight.slots;
+    view.pending.push_back({ request.id, request.promptTokens, now });
+    view.waitingPromptTokens += request.promptTokens;
+    if (isLongClass(lengthClassOf(request.promptTokens)))
+        ++view.longPending;
+}
+
+void notePrefilled(TargetView &view, const Request &request)
+{
+    const auto found =
+        std::find_if(view.pending.begin(), view.pending.end(),
+                     [&](const PendingPrompt &prompt) { return prompt.request == request.id; });
+    if (found == view.pending.end())
+        return;
+    view.waitingPromptTokens -= found->tokens;
+    if (isLongClass(lengthClassOf(found->tokens)))
+        --view.longPending;
+    view.pending.erase(found);
+}
+
+void noteEnded(TargetView &view, const Request &request)
+{
+    notePrefilled(view, request);
+    view.inFlight.tokens -= request.memoryTokens();
+    --view.inFlight.slots;
+}
+
+void noteReport(TargetView &view, const LoadReport &report, Milliseconds now)
+{
+    // Own prompts sent after the report was made are not in it.
+    const Milliseconds madeAt = now - assumedReportLag;
+    TokenCount ownInReport = 0;
+    for (const PendingPrompt &prompt : view.pending) {
+        if (prompt.sentAt <= madeAt)
+            ownInReport += prompt.tokens;
+    }
+    view.report = report;
+    view.othersWaiting = std::max<TokenCount>(0, report.waitingPromptTokens - ownInReport);
+    view.reportedAt = now;
+}
+
+double expectedWaitMs(const TargetView &view, LengthClass length, LanePolicy policy,
+                      Milliseconds now)
+{
+    const double rate = prefillRate(view.rates, now);
+    const double others = othersWaiting(view, now);
+    if (policy != LanePolicy::Elastic || isLongClass(length))
+        return (static_cast<double>(view.waitingPromptTokens) + others) / rate;
+    // The engine serves short prompts first, so a long one costs them a slower batch only.
+    double before = std::min(others, static_cast<double>(mediumPromptTokens));
+    for (const PendingPrompt &prompt : view.pending) {
+        if (!isLongClass(lengthClassOf(prompt.tokens)))
+            before += static_cast<double>(prompt.tokens);
+    }
+    const bool hasLong = view.longPending > 0 || others > static_cast<double>(mediumPromptTokens);
+    return before / rate + (hasLong ? longPrefillPenaltyMs : 0);
 }
 
-const TargetView *chooseTarget(const std::vector<TargetView> &views, const Request &request,
-                               const ZoneId &ownZone, Milliseconds now)
+std::optional<std::size_t> chooseTarget(const Candidates &candidates, const Request &request,
+                                        LanePolicy policy, const ZoneId &ownZone, Milliseconds now)
 {
-    const TargetView *best = nullptr;
-    for (const TargetView &view : views) {
-        const bool isEligible = view.service == request.service && view.acceptsNewWork
-                                && view.failedUntil <= now && hasRoom(view, request);
-        if (isEligible && (!best || rank(view, ownZone) < rank(*best, ownZone)))
-            best = &view;
+    const LengthClass length = lengthClassOf(request.promptTokens);
+    const bool isAlone = policy == LanePolicy::Elastic && isLongClass(length);
+    std::optional<std::size_t> best;
+    Rank bestRank;
+    for (std::size_t i = candidates.first; i < candidates.last; ++i) {
+        const TargetView &view = candidates.views[candidates.order[i]];
+        if (!hasRoom(view, request, now) || (isAlone && view.longPending > 0))
+            continue;
+        const double wait = expectedWaitMs(view, length, policy, now);
+        const Rank rank { static_cast<std::int64_t>(wait / equalWaitMs), view.zone != ownZone,
+                          view.inFlight.slots };
+        if (!best || rank.isBetterThan(bestRank)) {
+            best = candidates.order[i];
+            bestRank = rank;
+        }
     }
     return best;
 }
--- /dev/null
+++ b/src/routing/dispatcher.cpp
@@ -0,0 +1,217 @@
+#include <egretmount/routing/dispatcher.h>
+
+#include <algorithm>
+
+#include <egretmount/core/digest.h>
+
+#include "pump.h"
+
+namespace egretmount::routing {
+
+using namespace literals;
+
+namespace {
+
+constexpr Milliseconds failurePause = 1'000_ms;
+
+Decisions refusal(const Request &request, ErrorId id, const char *detail, Milliseconds retryAfter)
+{
+    Decisions decisions;
+    decisions.refused.push_back({ request.id, { id, Verdict::NotRun, detail, retryAfter } });
+    return decisions;
+}
+
+void keepKnown(TargetView &view, const TargetView &known, Milliseconds now)
+{
+    const bool cameBack = view.acceptsNewWork && !known.acceptsNewWork;
+    TargetView merged = known;
+    merged.service = view.service;
+    merged.zone = view.zone;
+    merged.address = view.address;
+    merged.acceptsNewWork = view.acceptsNewWork;
+    merged.capacity = view.capacity;
+    merged.spendable = view.spendable;
+    if (cameBack) {
+        merged.rampStart = now;
+        merged.isRamping = true;
+    }
+    view = std::move(merged);
+}
+
+bool isUsable(const TargetView &view)
+{
+    return view.acceptsNewWork && view.spendable.slots > 0;
+}
+
+void indexTargets(DispatchState &state)
+{
+    state.indexes.clear();
+    for (auto service = state.services.begin(); service != state.services.end(); ++service) {
+        service->second.order.clear();
+        service->second.largestMemory = 0;
+    }
+    for (std::size_t i = 0; i < state.targets.size(); ++i) {
+        const TargetView &view = state.targets[i];
+        state.indexes[view.id] = i;
+        ServiceState &service = serviceOf(state, view.service);
+        service.largestMemory = std::max(service.largestMemory, view.capacity.tokens);
+        if (isUsable(view))
+            service.order.push_back(i);
+    }
+    for (auto service = state.services.begin(); service != state.services.end(); ++service) {
+        std::vector<std::size_t> &order = service->second.order;
+        std::sort(order.begin(), order.end(), [&state](std::size_t a, std::size_t b) {
+            return stableHash(state.targets[a].id.value) < stableHash(state.targets[b].id.value);
+        });
+    }
+}
+
+// Time from now until a new request would be done. The queue's part has a margin, as it changes.
+Milliseconds expectedEnd(const ServiceState &service, LengthClass lane, const Request &request,
+                         double weight, Milliseconds now)
+{
+    constexpr std::int64_t marginPercent = 125;
+    const std::size_t index = static_cast<std::size_t>(lane);
+    const Milliseconds wait = admission::expectedWait(
+        service.drains[index], admission::tokensAhead(service.lanes[index], request, weight));
+    return now + wait * marginPercent / 100
+           + expectedRunTime(service.rates, request.promptTokens, request.maxTokens, now);
+}
+
+} // namespace
+
+Decisions setTargets(DispatchState &state, std::vector<TargetView> targets, Milliseconds now)
+{
+    for (TargetView &view : targets) {
+        const TargetView *known = findView(state, view.id);
+        if (known)
+            keepKnown(view, *known, now);
+    }
+    state.targets = std::move(targets);
+    indexTargets(state);
+    return tick(state, now);
+}
+
+Decisions setSpendable(DispatchState &state, const TargetId &target,
+                       const config::Capacity &spendable, Milliseconds now)
+{
+    TargetView *view = findView(state, target);
+    if (!view)
+        return {};
+    const bool wasUsable = isUsable(*view);
+    view->spendable = spendable;
+    if (isUsable(*view) != wasUsable)
+        indexTargets(state);
+    Decisions decisions;
+    pump(state, serviceOf(state, view->service), now, decisions);
+    return decisions;
+}
+
+Decisions submit(DispatchState &state, const Request &request, double weight, Milliseconds now)
+{
+    ServiceState &service = serviceOf(state, request.service);
+    const LengthClass lane = laneOf(state, request);
+    const std::size_t index = static_cast<std::size_t>(lane);
+    if (state.running.count(request.id) > 0 || service.waiting.count(request.id) > 0)
+        return refusal(request, ErrorId::Overloaded, "a request with this id is being served",
+                       admission::retryAfter({}, state.random));
+    if (service.largestMemory > 0 && request.memoryTokens() > service.largestMemory)
+        return refusal(request, ErrorId::PromptTooLong, "no target has that much memory", {});
+    noteArrival(service.demand, request.promptTokens, now);
+    const Milliseconds backlog = laneBacklog(service, lane);
+    if (service.lanes[index].size() >= state.maxWaiting)
+        return refusal(request, ErrorId::Overloaded, "the queue is full",
+                       admission::retryAfter(backlog, state.random));
+    if (expectedEnd(service, lane, request, weight, now) > request.deadline)
+        return refusal(request, ErrorId::DeadlineUnreachable,
+                       "the request would not finish by its deadline",
+                       admission::retryAfter(backlog, state.random));
+    enqueue(service, lane, request, weight, now);
+    Decisions decisions;
+    pump(state, service, now, decisions);
+    return decisions;
+}
+
+void withdraw(DispatchState &state, const RequestId &request)
+{
+    for (auto service = state.services.begin(); service != state.services.end(); ++service)
+        removeWaiting(service->second, request);
+}
+
+Decisions noteFirstToken(DispatchState &state, const RequestId &id, Milliseconds now)
+{
+    const auto found = state.running.find(id);
+    if (found == state.running.end() || found->second.hasFirstToken)
+        return {};
+    RunningRequest &running = found->second;
+    running.hasFirstToken = true;
+    running.firstTokenAt = now;
+    ServiceState &service = serviceOf(state, running.request.service);
+    const TokenCount tokens = running.request.promptTokens + running.tokensBefore;
+    noteFirstToken(service.rates, tokens, now - running.sentAt, now);
+    noteLongDone(service, running.request);
+    TargetView *view = findView(state, running.target);
+    if (view) {
+        noteFirstToken(view->rates, tokens, now - running.sentAt, now);
+        notePrefilled(*view, running.request);
+    }
+    Decisions decisions;
+    pump(state, service, now, decisions);
+    return decisions;
+}
+
+Decisions finish(DispatchState &state, const RequestId &id, Outcome outcome, TokenCount generated,
+                 Milliseconds now)
+{
+    const auto found = state.running.find(id);
+    if (found == state.running.end())
+        return {};
+    const RunningRequest running = std::move(found->second);
+    state.running.erase(found);
+    ServiceState &service = serviceOf(state, running.request.service);
+    if (!running.hasFirstToken)
+        noteLongDone(service, running.request);
+    else if (outcome == Outcome::Completed)
+        noteAnswer(service.rates, generated, running.request.maxTokens, now - running.firstTokenAt,
+                   now);
+    TargetView *view = findView(state, running.target);
+    if (view) {
+        noteEnded(*view, running.request);
+        if (outcome == Outcome::Failed) {
+            view->failedUntil = now + failurePause;
+            view->rampStart = view->failedUntil;
+            view->isRamping = true;
+        }
+    }
+    Decisions decisions;
+    pump(state, service, now, decisions);
+    return decisions;
+}
+
+Decisions noteReport(DispatchState &state, const TargetId &target, const LoadReport &report,
+                     Milliseconds now)
+{
+    TargetView *view = findView(state, target);
+    if (!view)
+        return {};
+    noteReport(*view, report, now);
+    Decisions decisions;
+    pump(state, serviceOf(state, view->service), now, decisions);
+    return decisions;
+}
+
+Decisions tick(DispatchState &state, Milliseconds now)
+{
+    Decisions decisions;
+    for (auto service = state.services.begin(); service != state.services.end(); ++service)
+        pump(state, service->second, now, decisions);
+    return decisions;
+}
+
+TargetView *findView(DispatchState &state, const TargetId &target)
+{
+    const auto found = state.indexes.find(target);
+    return found == state.indexes.end() ? nullptr : &state.targets[found->second];
+}
+
+} // namespace egretmount::routing
--- /dev/null
+++ b/src/routing/lane_policy.cpp
@@ -0,0 +1,66 @@
+#include <egretmount/routing/lane_policy.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace egretmount::routing {
+
+using namespace literals;
+
+namespace {
+
+constexpr double demandHalfLifeMs = 5'000;
+constexpr double reserveHeadroom = 2; // over the measured share of short prompts
+constexpr double leastReserveShare = 0.2; // of the targets
+constexpr double poolHorizonMs = 250; // a pool works its backlog off in this time
+constexpr int levelsPerClass = 1'000;
+
+std::size_t reserveFor(const LengthDemand &demand, std::size_t targets)
+{
+    const double all = demand.shortTokens + demand.longTokens;
+    const double share = all > 0 ? demand.shortTokens / all * reserveHeadroom : 0;
+    const double wanted = std::clamp(share, leastReserveShare, 1.0) * static_cast<double>(targets);
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(wanted)), 1, targets - 1);
+}
+
+} // namespace
+
+void noteArrival(LengthDemand &demand, TokenCount promptTokens, Milliseconds now)
+{
+    const double elapsed = static_cast<double>((now - demand.updated).count());
+    const double kept = std::exp2(-elapsed / demandHalfLifeMs);
+    demand.shortTokens *= kept;
+    demand.longTokens *= kept;
+    demand.updated = now;
+    double &sum = isLongClass(lengthClassOf(promptTokens)) ? demand.longTokens : demand.shortTokens;
+    sum += static_cast<double>(promptTokens);
+}
+
+PoolSizes poolSizes(LanePolicy policy, const LengthDemand &demand, std::size_t targets,
+                    double prefillTokensPerMs)
+{
+    if (targets < 2 || policy == LanePolicy::Priority || policy == LanePolicy::Fifo)
+        return { targets, 0 };
+    if (policy == LanePolicy::Static)
+        return { targets / 2, targets - targets / 2 };
+    PoolSizes sizes;
+    sizes.shortReserve = reserveFor(demand, targets);
+    if (demand.longBacklog <= 0)
+        return sizes;
+    const double wanted =
+        std::ceil(static_cast<double>(demand.longBacklog) / (prefillTokensPerMs * poolHorizonMs));
+    sizes.longPool = std::min(static_cast<std::size_t>(wanted), targets - sizes.shortReserve);
+    return sizes;
+}
+
+int enginePriority(LanePolicy policy, LengthClass length, int level)
+{
+    if (policy == LanePolicy::Fifo)
+        return 0;
+    if (policy == LanePolicy::Static)
+        return level;
+    const int rank = static_cast<int>(LengthClass::Huge) - static_cast<int>(length);
+    return rank * levelsPerClass + level;
+}
+
+} // namespace egretmount::routing
--- /dev/null
+++ b/src/routing/pump.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <egretmount/routing/dispatcher.h>
+
+namespace egretmount::routing {
+
+/// @brief The state of a service, made on first use. @complexity Logarithmic.
+ServiceState &serviceOf(DispatchState &state, const ServiceId &service);
+
+/// @brief The lane of a request under the policy in force.
+LengthClass laneOf(const DispatchState &state, const Request &request);
+
+/// @brief Puts a request into its lane.
+void enqueue(ServiceState &service, LengthClass lane, const Request &request, double weight,
+             Milliseconds now);
+
+/// @brief Takes a request out of its lane. @return False if it does not wait.
+bool removeWaiting(ServiceState &service, const RequestId &request);
+
+/// @brief Tells that a prompt is no longer part of the long backlog.
+void noteLongDone(ServiceState &service, const Request &request);
+
+/// @brief Time that the requests of a lane take to leave it; zero if it is not measured.
+Milliseconds laneBacklog(const ServiceState &service, LengthClass lane);
+
+/// @brief Refuses what can no longer meet its deadline, and assigns as much as has room.
+void pump(DispatchState &state, ServiceState &service, Milliseconds now, Decisions &decisions);
+
+} // namespace egretmount::routing
