--- a/src/routing/explain.cpp
+++ b/src/routing/explain.cpp
@@ -12,11 +12,26 @@
         return Obstacle::RecentFailure;
     if (view.spendable.slots == 0)
         return Obstacle::NoShare;
-    if (view.spendable.tokens > 0 && request.memoryTokens() > view.spendable.tokens)
+    if (!fitsShare(view, request))
         return Obstacle::MemoryTooSmall;
     if (view.inFlight.slots >= view.spendable.slots)
         return Obstacle::SlotsInUse;
-    return hasRoom(view, request) ? Obstacle::None : Obstacle::MemoryInUse;
+    return hasRoom(view, request, now) ? Obstacle::None : Obstacle::MemoryInUse;
+}
+
+std::optional<TargetId> likelyTarget(const DispatchState &state, const Request &request,
+                                     Milliseconds now)
+{
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < state.targets.size(); ++i) {
+        if (obstacleFor(state.targets[i], request, now) == Obstacle::None)
+            order.push_back(i);
+    }
+    const std::optional<std::size_t> choice = chooseTarget(
+        { state.targets, order, 0, order.size() }, request, state.policy, state.ownZone, now);
+    if (!choice)
+        return std::nullopt;
+    return state.targets[*choice].id;
 }
 
 std::string describe(Obstacle obstacle)
