Split each target's capacity into escrowed credits

A target's cap had no holder, so nothing bounded the sum over instances. Each of the first eight instances of a rendezvous order now holds a share; a share lost stops at once, one gained waits for a hold-off and then opens only by what reports show to be unused since. A lender subtracts before it answers and takes back at the request's deadline. Bounding a gained share by the cap less others' load was ruled out: idle survivors would hide a departed peer's work.

--- /dev/null
+++ b/src/credit/holders.cpp
@@ -0,0 +1,73 @@
+#include <egretmount/credit/holders.h>
+
+#include <algorithm>
+
+#include <egretmount/core/digest.h>
+#include <egretmount/core/random.h>
+
+namespace egretmount::credit {
+
+namespace {
+
+struct Ranked
+{
+    std::uint64_t weight = 0;
+    const InstanceId *id = nullptr;
+
+    friend bool operator<(const Ranked &a, const Ranked &b)
+    {
+        return a.weight != b.weight ? a.weight > b.weight : *a.id < *b.id;
+    }
+};
+
+std::int64_t part(std::int64_t whole, std::size_t rank, std::size_t holders)
+{
+    const std::int64_t count = static_cast<std::int64_t>(holders);
+    return whole / count + (static_cast<std::int64_t>(rank) < whole % count ? 1 : 0);
+}
+
+} // namespace
+
+Roster::Roster(const std::vector<InstanceId> &listed)
+{
+    for (const InstanceId &id : listed)
+        m_members.push_back({ id, stableHash(id.value) });
+    std::sort(m_members.begin(), m_members.end(),
+              [](const Member &a, const Member &b) { return a.id < b.id; });
+}
+
+std::vector<InstanceId> Roster::firstFor(const TargetId &target, std::size_t count) const
+{
+    const std::uint64_t targetHash = stableHash(target.value);
+    std::vector<Ranked> ranked;
+    ranked.reserve(m_members.size());
+    for (const Member &member : m_members)
+        ranked.push_back({ Random(member.hash ^ targetHash).next(), &member.id });
+    const std::size_t kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end());
+    std::vector<InstanceId> first;
+    for (std::size_t i = 0; i < kept; ++i)
+        first.push_back(*ranked[i].id);
+    return first;
+}
+
+bool Roster::contains(const InstanceId &id) const
+{
+    return std::binary_search(m_members.begin(), m_members.end(), Member { id, 0 },
+                              [](const Member &a, const Member &b) { return a.id < b.id; });
+}
+
+Capacity shareOf(const Capacity &capacity, std::size_t rank, std::size_t listed)
+{
+    std::size_t holders = std::min(maxHolders, listed);
+    holders =
+        std::min(holders, static_cast<std::size_t>(std::max<std::int64_t>(capacity.slots, 0)));
+    if (capacity.tokens > 0)
+        holders = std::min(holders, static_cast<std::size_t>(capacity.tokens));
+    if (rank >= holders)
+        return {};
+    return { part(capacity.tokens, rank, holders), part(capacity.slots, rank, holders) };
+}
+
+} // namespace egretmount::credit
