Calls that may not be repeated run at most once

A service with calls=once was served like any other, so a repeat by the caller ran it twice. Now such a call needs a ticket; its issuer executes it after the witness's permit, joins or answers repeats from memory, and other instances forward to it. An unreachable issuer's ticket is voided at the witness, after which 'not run' is said; else 'may have run'. A refusal before the ticket was looked at claims nothing of it. Calls that may be repeated go on at another target when one fails.

--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -6,10 +6,13 @@
 #include <Poco/UUIDGenerator.h>
 #include <glog/logging.h>
 
+#include "call_relay.h"
 #include "config_service.h"
 #include "http/headers.h"
+#include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
+#include "ticket_service.h"
 
 namespace egretmount::entry {
 
@@ -87,6 +90,7 @@
     m_server.route("GET", "/v1/locate", [this](http::Exchange &e) { locate(e); });
     m_server.route("POST", "/v1/completions", [this](http::Exchange &e) { complete(e); });
     m_server.route("POST", "/v1/calls/", [this](http::Exchange &e) { call(e); });
+    m_server.route("POST", "/v1/tickets/", [this](http::Exchange &e) { issueTicket(e); });
     m_server.route("GET", "/health/ready", [this](http::Exchange &e) { sendReadiness(e); });
     m_server.route("GET", "/health/live", [](http::Exchange &e) {
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
@@ -118,6 +122,7 @@
     }
     Poco::JSON::Object answer;
     answer.set("instances", instances);
+    answer.set("tickets", "/v1/tickets/");
     answer.set("max_age_ms", m_settings.locateMaxAge.count());
     const std::int64_t maxAgeSeconds = m_settings.locateMaxAge.count() / 1000;
     exchange.response().set("Cache-Control", "max-age=" + std::to_string(maxAgeSeconds));
@@ -147,16 +152,56 @@
 void CallerService::call(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current);
+    std::string body;
+    const Result<Request> request = makeCallRequest(exchange, body);
+    if (!request) {
+        // The ticket may have been used before; this instance has not looked.
+        Error error = request.error();
+        if (!exchange.header(http::ticketHeader).empty())
+            error.verdict = Verdict::MayHaveRun;
+        return exchange.sendError(error);
+    }
+    if (request->isRepeatable)
+        return relayCall(m_registry, exchange, *request, body);
+    OnceRelay(m_registry, exchange, *request, body).run();
+}
+
+Result<Request> CallerService::makeCallRequest(http::Exchange &exchange, std::string &body) const
+{
     const Milliseconds arrival = monotonicNow();
-    const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
-    if (!body)
-        return exchange.sendError(body.error());
+    Result<std::string> read = exchange.readBody(m_settings.maxBodyBytes);
+    if (!read)
+        return tl::make_unexpected(read.error());
+    body = std::move(*read);
     const std::string service = exchange.rest().substr(0, exchange.rest().find('/'));
     Result<Request> request = makeRequest(exchange, ServiceId(service));
+    if (request)
+        request->arrival = arrival;
+    return request;
+}
+
+void CallerService::issueTicket(http::Exchange &exchange)
+{
+    const CurrentRequest current(m_current);
+    const ServiceId service(exchange.rest());
+    const Result<Request> request = makeRequest(exchange, service);
     if (!request)
         return exchange.sendError(request.error());
-    request->arrival = arrival;
-    relayCall(m_registry, exchange, *request, *body);
+    if (request->isRepeatable) {
+        return exchange.sendError({ ErrorId::MalformedRequest, Verdict::NotRun,
+                                    "calls of this service need no ticket", Milliseconds() });
+    }
+    const Result<std::string> ticket =
+        m_registry.find<TicketService>().issue(request->team, service);
+    if (!ticket)
+        return exchange.sendError(ticket.error());
+    Poco::JSON::Object answer;
+    answer.set("ticket", *ticket);
+    answer.set("address", m_settings.httpAddress);
+    answer.set("path", "/v1/calls/" + service.value);
+    answer.set("lifetime_ms", m_settings.ticketLifetime.count());
+    exchange.response().set("Cache-Control", "no-store");
+    exchange.send(HTTPResponse::HTTP_OK, jsonType, stringify(answer));
 }
 
 void CallerService::sendReadiness(http::Exchange &exchange)
@@ -184,7 +229,8 @@
     const config::Team *team = token.empty() ? nullptr : config::findTeamByToken(*document, token);
     if (!team)
         return fail(ErrorId::Unauthenticated, Verdict::NotRun, "the team token is not known");
-    if (!config::findService(*document, service))
+    const config::Service *known = config::findService(*document, service);
+    if (!known)
         return fail(ErrorId::UnknownService, Verdict::NotRun, "no such service");
 
     Poco::Int64 left = m_settings.defaultDeadline.count();
@@ -203,6 +249,7 @@
         id.empty() ? Poco::UUIDGenerator::defaultGenerator().createRandom().toString() : id);
     request.team = team->id;
     request.service = service;
+    request.isRepeatable = known->calls == config::CallPolicy::Repeatable;
     request.deadline = monotonicNow() + std::min(Milliseconds(left), m_settings.maxDeadline);
     const config::Priority *priority = config::findPriority(*document, team->priority);
     request.priority = priority ? priority->level : 0;
--- a/apps/entry/caller_service.h
+++ b/apps/entry/caller_service.h
@@ -35,8 +35,12 @@
     void locate(http::Exchange &exchange);
     void complete(http::Exchange &exchange);
     void call(http::Exchange &exchange);
+    void issueTicket(http::Exchange &exchange);
     void sendReadiness(http::Exchange &exchange);
 
+    /// Reads and checks a call; what is known of its ticket is not looked at.
+    Result<Request> makeCallRequest(http::Exchange &exchange, std::string &body) const;
+
     /// Checks token, service and deadline, and fills in the request.
     Result<Request> makeRequest(http::Exchange &exchange, const ServiceId &service) const;
 
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -51,6 +51,14 @@
               { "drainSlackMs", ValueKind::Integer, "ms", "1000", 0, highestMilliseconds, "", false,
                 "Time added to locateMaxAgeMs before a leaving instance closes." },
           } },
+        { "tickets",
+          false,
+          {
+              { "lifetimeMs", ValueKind::Integer, "ms", "60000", 1, highestMilliseconds, "", false,
+                "How long a ticket for a call that may not be repeated can be used." },
+              { "witness", ValueKind::Choice, "", "yes", 0, 0, "yes|no", false,
+                "Whether a peer must permit such a call before it is sent." },
+          } },
     };
 }
 
@@ -79,6 +87,9 @@
     read.maxDeadline = Milliseconds(limits.integer("maxDeadlineMs"));
     read.locateMaxAge = Milliseconds(limits.integer("locateMaxAgeMs"));
     read.drainSlack = Milliseconds(limits.integer("drainSlackMs"));
+    const config::SectionReader tickets = settings.section("tickets");
+    read.ticketLifetime = Milliseconds(tickets.integer("lifetimeMs"));
+    read.usesWitness = tickets.text("witness") == "yes";
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -26,6 +26,8 @@
     Milliseconds maxDeadline;
     Milliseconds locateMaxAge;
     Milliseconds drainSlack;
+    Milliseconds ticketLifetime;
+    bool usesWitness = true;
 };
 
 /// @brief Specification of the settings.
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -11,6 +11,7 @@
 #include "kernel/daemon.h"
 #include "peer_service.h"
 #include "request_watch.h"
+#include "ticket_service.h"
 
 namespace {
 
@@ -43,6 +44,7 @@
         registry.add(std::make_unique<entry::PeerService>(loop, registry, own));
     registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
     registry.add(std::make_unique<entry::WatchService>(loop));
+    registry.add(std::make_unique<entry::TicketService>(loop, registry, own));
     entry::CallerService &callers =
         registry.add(std::make_unique<entry::CallerService>(loop, registry, own));
 
--- a/apps/entry/peer_server.cpp
+++ b/apps/entry/peer_server.cpp
@@ -4,6 +4,8 @@
 
 #include "config_service.h"
 #include "peer_service.h"
+#include "ticket_rpc.h"
+#include "ticket_service.h"
 
 namespace egretmount::entry {
 
@@ -37,6 +39,23 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> requestPermit(RequestPermitContext context) override
+    {
+        const runonce::Ticket ticket = readTicket(context.getParams().getTicket());
+        KJ_REQUIRE(ticket.issuer == m_caller.run, "only the issuer may ask for a permit");
+        const runonce::WitnessAnswer answer = m_registry.find<TicketService>().answerPermit(ticket);
+        context.getResults().setAnswer(toWire(answer));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> voidTicket(VoidTicketContext context) override
+    {
+        const runonce::Ticket ticket = readTicket(context.getParams().getTicket());
+        const runonce::WitnessAnswer answer = m_registry.find<TicketService>().answerVoid(ticket);
+        context.getResults().setAnswer(toWire(answer));
+        return kj::READY_NOW;
+    }
+
 private:
     kernel::Registry &m_registry;
     rpc::PeerIdentity m_caller;
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -1,7 +1,5 @@
 #include "relay.h"
 
-#include <future>
-
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
@@ -13,6 +11,7 @@
 #include "http/headers.h"
 #include "http/load_report.h"
 #include "peer_service.h"
+#include "target_call.h"
 
 namespace egretmount::entry {
 
@@ -22,51 +21,11 @@
 
 namespace {
 
-constexpr Milliseconds connectTimeout = 500_ms;
 constexpr Milliseconds cancelTimeout = 500_ms;
-constexpr Milliseconds retryAfterFailure = 500_ms;
-constexpr int maxAttempts = 3;
 constexpr TokenCount bytesPerToken = 4;
 constexpr TokenCount defaultMaxTokens = 16;
 constexpr TokenCount highestMaxTokens = 1'000'000;
 
-std::string ownerText(const PeerService &peers)
-{
-    const InstanceRun &run = peers.self().run;
-    return run.instance.value + '/' + std::to_string(run.incarnation);
-}
-
-HTTPRequest makeTargetRequest(const std::string &path, const Request &request,
-                              const PeerService &peers)
-{
-    HTTPRequest http(HTTPRequest::HTTP_POST, path, Poco::Net::HTTPMessage::HTTP_1_1);
-    const Milliseconds left = request.deadline - monotonicNow();
-    http.setContentType("application/json");
-    http.set(http::requestIdHeader, request.id.value);
-    http.set(http::deadlineHeader, std::to_string(left.count()));
-    http.set(http::priorityHeader, std::to_string(request.priority));
-    http.set(http::ownerHeader, ownerText(peers));
-    return http;
-}
-
-// Waits for the decision; it always comes, as the loop answers every request at once or later.
-Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request)
-{
-    using Decision = std::promise<Result<Assignment>>;
-    std::shared_ptr<Decision> promise = std::make_shared<Decision>();
-    std::future<Result<Assignment>> decision = promise->get_future();
-    // The callback owns the promise alone, so that a loop that ends breaks it and this wait ends.
-    dispatch.submit(request, [promise = std::move(promise)](Result<Assignment> result) {
-        promise->set_value(std::move(result));
-    });
-    return decision.get();
-}
-
-Error deadlineError(Verdict verdict)
-{
-    return { ErrorId::DeadlinePassed, verdict, "the deadline passed", retryAfterFailure };
-}
-
 } // namespace
 
 Result<CompletionBody> readCompletionBody(const std::string &body)
@@ -241,50 +200,4 @@
     return { ErrorId::StreamInterrupted, m_verdict, "the caller has left", Milliseconds() };
 }
 
-void relayCall(kernel::Registry &registry, http::Exchange &exchange, const Request &request,
-               const std::string &body)
-{
-    DispatchService &dispatch = registry.find<DispatchService>();
-    const Result<Assignment> assignment = requestTarget(dispatch, request);
-    exchange.response().set(http::requestIdHeader, request.id.value);
-    if (!assignment)
-        return exchange.sendError(assignment.error());
-
-    const std::shared_ptr<RequestWatch> watch =
-        std::make_shared<RequestWatch>(request.deadline, http::PeerWatch(exchange.request()));
-    registry.find<WatchService>().add(watch);
-    const std::shared_ptr<http::ClientCall> call =
-        std::make_shared<http::ClientCall>(assignment->address);
-    watch->setCall(call);
-    Verdict verdict = Verdict::NotRun;
-    HTTPResponse response;
-    std::string answer;
-    bool isWhole = false;
-    try {
-        call->connect(connectTimeout, request.deadline - monotonicNow());
-        HTTPRequest outgoing = makeTargetRequest("/v1/calls/" + exchange.rest(), request,
-                                                 registry.find<PeerService>());
-        verdict = Verdict::MayHaveRun;
-        call->send(outgoing, body);
-        std::istream &stream = call->receive(response);
-        answer.assign(std::istreambuf_iterator<char>(stream), {});
-        isWhole = response.getStatus() == HTTPResponse::HTTP_OK;
-    } catch (const Poco::Exception &) {
-        isWhole = false;
-    }
-    watch->close();
-    dispatch.finish(request.id, isWhole ? Outcome::Completed : Outcome::Failed);
-    if (watch->interruption() == Interruption::CallerGone)
-        return;
-    if (watch->interruption() == Interruption::DeadlinePassed)
-        return exchange.sendError(deadlineError(verdict));
-    if (!isWhole) {
-        return exchange.sendError(
-            { ErrorId::TargetFailed, verdict, "the target failed", retryAfterFailure });
-    }
-    exchange.response().set(http::targetHeader, assignment->target.value);
-    exchange.response().set(http::verdictHeader, std::string(nameOf(Verdict::Ran)));
-    exchange.send(HTTPResponse::HTTP_OK, response.getContentType(), answer);
-}
-
 } // namespace egretmount::entry
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -62,8 +62,4 @@
     int m_attempts = 0;
 };
 
-/// @brief Serves one call of a plain service.
-void relayCall(kernel::Registry &registry, http::Exchange &exchange, const Request &request,
-               const std::string &body);
-
 } // namespace egretmount::entry
--- a/apps/entry/request_watch.cpp
+++ b/apps/entry/request_watch.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-RequestWatch::RequestWatch(Milliseconds deadline, const http::PeerWatch &caller)
+RequestWatch::RequestWatch(Milliseconds deadline, const std::optional<http::PeerWatch> &caller)
     : m_deadline(deadline)
     , m_caller(caller)
 { }
@@ -46,7 +46,7 @@
         return;
     if (now >= m_deadline)
         m_interruption = Interruption::DeadlinePassed;
-    else if (checkCaller && m_caller.isGone())
+    else if (checkCaller && m_caller && m_caller->isGone())
         m_interruption = Interruption::CallerGone;
     if (m_call && m_interruption != Interruption::None)
         m_call->abort();
--- a/apps/entry/request_watch.h
+++ b/apps/entry/request_watch.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include <egretmount/core/clock.h>
@@ -27,7 +28,9 @@
 class RequestWatch
 {
 public:
-    RequestWatch(Milliseconds deadline, const http::PeerWatch &caller);
+    /// @param caller Nothing: only the deadline is watched.
+    explicit RequestWatch(Milliseconds deadline,
+                          const std::optional<http::PeerWatch> &caller = std::nullopt);
 
     Milliseconds deadline() const { return m_deadline; }
     Interruption interruption() const;
@@ -44,7 +47,7 @@
 private:
     Milliseconds m_deadline;
     mutable std::mutex m_mutex;
-    http::PeerWatch m_caller; // guarded by m_mutex
+    std::optional<http::PeerWatch> m_caller; // guarded by m_mutex
     bool m_isClosed = false; // guarded by m_mutex
     Interruption m_interruption = Interruption::None; // guarded by m_mutex
     std::shared_ptr<http::ClientCall> m_call; // guarded by m_mutex
--- /dev/null
+++ b/apps/entry/target_call.cpp
@@ -0,0 +1,97 @@
+#include "target_call.h"
+
+#include <future>
+#include <memory>
+
+#include <Poco/Exception.h>
+
+#include "http/headers.h"
+
+namespace egretmount::entry {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 64UL * 1024;
+
+std::string ownerText(const PeerService &peers)
+{
+    const InstanceRun &run = peers.self().run;
+    return run.instance.value + '/' + std::to_string(run.incarnation);
+}
+
+Error targetError(const std::string &detail)
+{
+    return { ErrorId::TargetFailed, Verdict::MayHaveRun, detail, retryAfterFailure };
+}
+
+// An answer that breaks off before its stated length must not pass for a whole one.
+bool readAnswer(std::istream &stream, const HTTPResponse &response, std::string &body)
+{
+    std::string chunk(readChunkBytes, '\0');
+    while (stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size()))
+           || stream.gcount() > 0) {
+        body.append(chunk, 0, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > maxAnswerBytes)
+            return false;
+    }
+    return !response.hasContentLength()
+           || response.getContentLength64() == static_cast<Poco::Int64>(body.size());
+}
+
+} // namespace
+
+HTTPRequest makeTargetRequest(const std::string &path, const Request &request,
+                              const PeerService &peers)
+{
+    HTTPRequest http(HTTPRequest::HTTP_POST, path, Poco::Net::HTTPMessage::HTTP_1_1);
+    const Milliseconds left = request.deadline - monotonicNow();
+    http.setContentType("application/json");
+    http.set(http::requestIdHeader, request.id.value);
+    http.set(http::deadlineHeader, std::to_string(left.count()));
+    http.set(http::priorityHeader, std::to_string(request.priority));
+    http.set(http::ownerHeader, ownerText(peers));
+    return http;
+}
+
+Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request)
+{
+    using Decision = std::promise<Result<Assignment>>;
+    std::shared_ptr<Decision> promise = std::make_shared<Decision>();
+    std::future<Result<Assignment>> decision = promise->get_future();
+    // The callback owns the promise alone, so that a loop that ends breaks it and this wait ends.
+    dispatch.submit(request, [promise = std::move(promise)](Result<Assignment> result) {
+        promise->set_value(std::move(result));
+    });
+    return decision.get();
+}
+
+Error deadlineError(Verdict verdict)
+{
+    return { ErrorId::DeadlinePassed, verdict, "the deadline passed", retryAfterFailure };
+}
+
+Result<runonce::CallAnswer> exchangeCall(http::ClientCall &call, HTTPRequest &outgoing,
+                                         const std::string &body, const TargetId &target)
+{
+    try {
+        call.send(outgoing, body);
+        HTTPResponse response;
+        std::istream &stream = call.receive(response);
+        runonce::CallAnswer answer;
+        answer.status = static_cast<int>(response.getStatus());
+        answer.contentType = response.getContentType();
+        answer.target = target;
+        if (!readAnswer(stream, response, answer.body))
+            return tl::make_unexpected(targetError("the target broke off its answer"));
+        if (answer.status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
+            return tl::make_unexpected(targetError("the target failed"));
+        return answer;
+    } catch (const Poco::Exception &) {
+        return tl::make_unexpected(targetError("the target failed"));
+    }
+}
+
+} // namespace egretmount::entry
--- /dev/null
+++ b/apps/entry/target_call.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string>
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include <egretmount/core/error.h>
+#include <egretmount/core/request.h>
+#include <egretmount/runonce/issuer.h>
+
+#include "dispatch_service.h"
+#include "http/client.h"
+#include "peer_service.h"
+
+namespace egretmount::entry {
+
+/// @brief Bound of a connection set-up to a target.
+constexpr Milliseconds connectTimeout = Milliseconds(500);
+
+/// @brief When callers may come back after a target has failed.
+constexpr Milliseconds retryAfterFailure = Milliseconds(500);
+
+/// @brief Targets tried for one request at most.
+constexpr int maxAttempts = 3;
+
+/// @brief Longest answer of a plain service.
+constexpr std::size_t maxAnswerBytes = 16UL << 20U;
+
+/// @brief A POST to a target with the headers that say whose request it is.
+Poco::Net::HTTPRequest makeTargetRequest(const std::string &path, const Request &request,
+                                         const PeerService &peers);
+
+/// @brief Waits for the decision on a target; it always comes, by the deadline at the latest.
+Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request);
+
+/// @brief The error of a request whose deadline has passed.
+Error deadlineError(Verdict verdict);
+
+/// @brief Sends a call of a plain service and reads its whole answer. @pre `call` is connected.
+/// @return The answer, or `TargetFailed` with `MayHaveRun`. A status of 500 and above is a failure.
+Result<runonce::CallAnswer> exchangeCall(http::ClientCall &call, Poco::Net::HTTPRequest &outgoing,
+                                         const std::string &body, const TargetId &target);
+
+} // namespace egretmount::entry
--- a/src/daemon/http/headers.h
+++ b/src/daemon/http/headers.h
@@ -15,6 +15,7 @@
 constexpr const char *ownerHeader = "Egretmount-Owner"; ///< `instance/incarnation` of the sender.
 constexpr const char *loadHeader = "Egretmount-Load";
 constexpr const char *ticketHeader = "Egretmount-Ticket";
+constexpr const char *forwardedHeader = "Egretmount-Forwarded"; ///< Set between instances.
 constexpr const char *fenceHeader = "Egretmount-Fence";
 constexpr const char *versionHeader = "Egretmount-Version";
 constexpr const char *lastEventIdHeader = "Last-Event-ID"; ///< Resumes a stream behind this offset.
--- a/src/daemon/rpc/peer.capnp
+++ b/src/daemon/rpc/peer.capnp
@@ -103,6 +103,9 @@
   service @3 :Text;
   witness @4 :InstanceRun;
   expiryMs @5 :Int64;
+  # On the issuer's monotonic clock; only the issuer compares it.
+  lifetimeMs @6 :Int64;
+  # Time from issue to expiry; the witness remembers the ticket that long after its first answer.
 }
 
 enum WitnessAnswer {
--- a/src/daemon/rpc/peer.capnp.h
+++ b/src/daemon/rpc/peer.capnp.h
@@ -324,7 +324,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bb17bae44b6fd3cb, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bb17bae44b6fd3cb, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2123,6 +2123,8 @@
 
   inline  ::int64_t getExpiryMs() const;
 
+  inline  ::int64_t getLifetimeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2185,6 +2187,9 @@
   inline  ::int64_t getExpiryMs();
   inline void setExpiryMs( ::int64_t value);
 
+  inline  ::int64_t getLifetimeMs();
+  inline void setLifetimeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5067,6 +5072,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Ticket::Reader::getLifetimeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Ticket::Builder::getLifetimeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setLifetimeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
