--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -57,6 +57,14 @@
               { "lanes", ValueKind::Choice, "", "elastic", 0, 0, "elastic|static|priority|fifo",
                 false, "How short and long prompts share the targets of a service." },
           } },
+        { "tickets",
+          false,
+          {
+              { "lifetimeMs", ValueKind::Integer, "ms", "60000", 1, highestMilliseconds, "", false,
+                "How long a ticket for a call that may not be repeated can be used." },
+              { "witness", ValueKind::Choice, "", "yes", 0, 0, "yes|no", false,
+                "Whether a peer must permit such a call before it is sent." },
+          } },
     };
 }
 
@@ -87,6 +95,9 @@
     read.drainSlack = Milliseconds(limits.integer("drainSlackMs"));
     read.lanePolicy = valueNamed<routing::LanePolicy>(settings.section("policy").text("lanes"))
                           .value_or(routing::LanePolicy::Elastic);
+    const config::SectionReader tickets = settings.section("tickets");
+    read.ticketLifetime = Milliseconds(tickets.integer("lifetimeMs"));
+    read.usesWitness = tickets.text("witness") == "yes";
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -28,6 +28,8 @@
     Milliseconds locateMaxAge;
     Milliseconds drainSlack;
     routing::LanePolicy lanePolicy = routing::LanePolicy::Elastic;
+    Milliseconds ticketLifetime;
+    bool usesWitness = true;
 };
 
 /// @brief Specification of the settings.
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -13,6 +13,7 @@
 #include "peer_service.h"
 #include "request_watch.h"
 #include "status_service.h"
+#include "ticket_service.h"
 
 namespace {
 
@@ -47,6 +48,7 @@
     registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
     registry.add(std::make_unique<entry::WatchService>(loop));
     registry.add(std::make_unique<entry::StatusService>(loop, registry, own));
+    registry.add(std::make_unique<entry::TicketService>(loop, registry, own));
     entry::CallerService &callers =
         registry.add(std::make_unique<entry::CallerService>(loop, registry, own));
 
