Serve prompts beyond one engine's memory by several engines

Cause: the plan of a span existed, but nothing carried it out.

All parts are reserved or none, in the order of target ids; each is prefilled from the state that the one before exported; the last engine generates. Engines read the parts before them while they work, which keeps those from expiring; a lost part is made anew on another engine of the zone, and the last engine goes on at the offset that the caller has reached.

Ruled out: a queue of spans that hold some parts (two could wait for each other for ever); ending the last engine's stream when a part before it is lost (it would cost two parts).

Before: PromptTooLong. Not proved: spans under the mixed load.

--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -12,6 +12,7 @@
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
+#include "span_relay.h"
 #include "status_service.h"
 #include "ticket_service.h"
 
@@ -147,6 +148,8 @@
     request->arrival = arrival;
     request->promptTokens = completion->promptTokens;
     request->maxTokens = completion->maxTokens;
+    if (m_registry.find<DispatchService>().needsSpan(*request))
+        return SpanRelay(m_registry, exchange, *request, *body).run();
     CompletionRelay relay(m_registry, exchange, *request, *body);
     relay.run();
 }
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -31,6 +31,12 @@
     return views;
 }
 
+Result<Assignment> noRoom(Random &random)
+{
+    return fail(ErrorId::Overloaded, Verdict::NotRun, "the target has no room",
+                admission::retryAfter({}, random));
+}
+
 } // namespace
 
 DispatchService::DispatchService(kernel::Loop &loop, kernel::Registry &registry,
@@ -63,6 +69,53 @@
     m_loop.post([this, request, decided = std::move(decided)] { decide(request, decided); });
 }
 
+void DispatchService::reserve(const Request &request, const TargetId &target, Decided decided)
+{
+    m_loop.post([this, request, target, decided = std::move(decided)] {
+        if (reserveNow(request, target, decided))
+            return;
+        if (!m_credit->mayBorrow(target, request))
+            return decided(noRoom(m_state.random));
+        m_credit->borrow(target, request, [this, request, target, decided](bool isGranted) {
+            refreshShares();
+            if (isGranted && reserveNow(request, target, decided))
+                return;
+            if (isGranted)
+                m_credit->release(request.id, Ending::Certain);
+            decided(noRoom(m_state.random));
+        });
+    });
+}
+
+bool DispatchService::reserveNow(const Request &request, const TargetId &target,
+                                 const Decided &decided)
+{
+    const routing::Decisions decisions =
+        routing::reserveAt(m_state, request, target, monotonicNow());
+    if (decisions.assigned.empty())
+        return false;
+    take(decisions.assigned.front());
+    decided(makeAssignment(decisions.assigned.front()));
+    return true;
+}
+
+std::optional<routing::SpanPlan> DispatchService::plan(const Request &request, std::size_t least)
+{
+    return m_loop.call([&] { return routing::planSpan(m_state, request, least, monotonicNow()); });
+}
+
+std::optional<TargetId> DispatchService::replacement(const routing::SpanPlan &plan,
+                                                     std::size_t index, const Request &part)
+{
+    return m_loop.call(
+        [&] { return routing::replacePart(m_state, plan, index, part, monotonicNow()); });
+}
+
+bool DispatchService::needsSpan(const Request &request)
+{
+    return m_loop.call([&] { return routing::needsSpan(m_state, request); });
+}
+
 void DispatchService::withdraw(const RequestId &id)
 {
     m_loop.post([this, id] {
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -10,6 +10,7 @@
 #include <egretmount/core/error.h>
 #include <egretmount/core/request.h>
 #include <egretmount/routing/borrowing.h>
+#include <egretmount/routing/span.h>
 
 #include "credit_service.h"
 #include "entry_settings.h"
@@ -46,6 +47,20 @@
     ///        deadline at the latest, unless the request is withdrawn. Any thread.
     void submit(const Request &request, Decided decided);
 
+    /// @brief Asks for a given target without queueing, borrowing if other instances have room.
+    ///        `decided` is called once, on the loop's thread. Any thread.
+    void reserve(const Request &request, const TargetId &target, Decided decided);
+
+    /// @brief Plans a span; see `routing::planSpan`. Any thread.
+    std::optional<routing::SpanPlan> plan(const Request &request, std::size_t least);
+
+    /// @brief Another engine for a lost part; see `routing::replacePart`. Any thread.
+    std::optional<TargetId> replacement(const routing::SpanPlan &plan, std::size_t index,
+                                        const Request &part);
+
+    /// @brief True if a request needs more than one target's memory. Any thread.
+    bool needsSpan(const Request &request);
+
     /// @brief Takes back a request that is not decided yet; its `decided` is destroyed. Any thread.
     void withdraw(const RequestId &id);
 
@@ -70,6 +85,7 @@
     void decide(const Request &request, const Decided &decided);
     void carryOut(const routing::Decisions &decisions);
     void take(const routing::Assigned &assigned);
+    bool reserveNow(const Request &request, const TargetId &target, const Decided &decided);
     void refreshShares();
     void borrowForBlocked();
     void borrow(const routing::BlockedRequest &blocked);
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -52,12 +52,14 @@
 }
 
 CompletionRelay::CompletionRelay(kernel::Registry &registry, http::Exchange &exchange,
-                                 Request request, const std::string &body)
+                                 Request request, const std::string &body,
+                                 const CompletionSource *source)
     : m_registry(registry)
     , m_dispatch(registry.find<DispatchService>())
     , m_exchange(exchange)
     , m_request(std::move(request))
     , m_body(body)
+    , m_source(source)
     , m_watch(
           std::make_shared<RequestWatch>(m_request.deadline, http::PeerWatch(exchange.request())))
 {
@@ -85,7 +87,8 @@
 Result<void> CompletionRelay::attempt()
 {
     ++m_attempts;
-    const Result<Assignment> assignment = requestTarget(m_dispatch, m_request, m_watch.get());
+    const Result<Assignment> assignment =
+        m_source ? m_source->acquire() : requestTarget(m_dispatch, m_request, m_watch.get());
     if (!assignment) {
         Error error = assignment.error();
         error.verdict = m_verdict;
@@ -96,6 +99,9 @@
     const bool isInterrupted = m_watch->interruption() != Interruption::None;
     if (isInterrupted)
         cancelAt(assignment->address);
+    const bool isKept = !result && !isInterrupted && m_source && !m_source->isTargetToBlame();
+    if (isKept)
+        return result;
     const Outcome failed = isInterrupted ? Outcome::Cancelled : Outcome::Failed;
     m_dispatch.finish(m_request.id, result ? Outcome::Completed : failed, m_reassembly.nextOffset);
     return result;
@@ -116,7 +122,8 @@
         if (m_reassembly.nextOffset > 0)
             request.set(http::lastEventIdHeader, std::to_string(m_reassembly.nextOffset - 1));
         m_verdict = Verdict::MayHaveRun;
-        call->send(request, m_body);
+        const std::string &body = m_source ? m_source->prepare(request) : m_body;
+        call->send(request, body);
         HTTPResponse response;
         std::istream &stream = call->receive(response);
         routing::LoadReport report;
@@ -159,7 +166,7 @@
 {
     if (!m_out) {
         m_dispatch.noteFirstToken(m_request.id);
-        m_exchange.response().set(http::requestIdHeader, m_request.id.value);
+        m_exchange.response().set(http::requestIdHeader, callerId().value);
         m_exchange.response().set(http::targetHeader, m_target.value);
         m_exchange.response().set(http::verdictHeader, std::string(nameOf(m_verdict)));
         m_out = &m_exchange.startEvents();
@@ -177,7 +184,7 @@
         LOG_EVERY_N(INFO, 20) << "callers: the caller has left request=" << m_request.id.value;
         return;
     }
-    m_exchange.response().set(http::requestIdHeader, m_request.id.value);
+    m_exchange.response().set(http::requestIdHeader, callerId().value);
     if (!m_out)
         return m_exchange.sendError(error);
     *m_out << "event: error\ndata: " << http::errorJson(error) << "\n\n" << std::flush;
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -25,13 +26,29 @@
 /// @brief Reads the body of a completion request.
 Result<CompletionBody> readCompletionBody(const std::string &body);
 
+/// @brief Where a completion gets its target and its body from, if not from the queue and the
+/// caller.
+struct CompletionSource
+{
+    /// Gives the target for the next attempt.
+    std::function<Result<Assignment>()> acquire;
+
+    /// Completes the request to the target. @return The body to send.
+    std::function<const std::string &(Poco::Net::HTTPRequest &)> prepare;
+
+    /// Judges an attempt that failed. @return False: the target keeps the request for a next one.
+    std::function<bool()> isTargetToBlame;
+
+    RequestId callerId; ///< Identity of the request for the caller.
+};
+
 /// @brief Serves one completion: asks for a target, relays its stream, goes on elsewhere after a
 ///        failure at the offset that the caller has reached.
 class CompletionRelay
 {
 public:
     CompletionRelay(kernel::Registry &registry, http::Exchange &exchange, Request request,
-                    const std::string &body);
+                    const std::string &body, const CompletionSource *source = nullptr);
     ~CompletionRelay();
 
     CompletionRelay(const CompletionRelay &) = delete;
@@ -40,6 +57,8 @@
     /// @brief Serves the request to its end; always answers unless the caller has left.
     void run();
 
+    RequestWatch &watch() { return *m_watch; }
+
 private:
     Result<void> attempt();
     Result<void> relayFrom(const Assignment &assignment);
@@ -48,12 +67,14 @@
     void answerError(const Error &error);
     void cancelAt(const std::string &address);
     Error interruptionError() const;
+    const RequestId &callerId() const { return m_source ? m_source->callerId : m_request.id; }
 
     kernel::Registry &m_registry;
     DispatchService &m_dispatch;
     http::Exchange &m_exchange;
     Request m_request;
     const std::string &m_body;
+    const CompletionSource *m_source; // null: the queue and the caller's body
     std::shared_ptr<RequestWatch> m_watch;
     stream::Reassembly m_reassembly;
     TargetId m_target; // of the attempt in hand
--- a/apps/standins/target/engine.cpp
+++ b/apps/standins/target/engine.cpp
@@ -21,7 +21,8 @@
 
 bool isInBatch(const Stream &stream)
 {
-    return stream.state == StreamState::Prefilling || stream.state == StreamState::Decoding;
+    return stream.state == StreamState::Prefilling || stream.state == StreamState::Decoding
+           || stream.state == StreamState::Held;
 }
 
 TokenCount memoryOf(const StreamRequest &request)
@@ -52,6 +53,7 @@
     for (const std::shared_ptr<Stream> &stream : m_streams) {
         if (stream->request.id == request.id && !stream->isOver()) {
             ++stream->readers;
+            stream->isSuspended = false;
             return stream;
         }
     }
@@ -68,8 +70,9 @@
 Stream Engine::waitFor(const std::shared_ptr<Stream> &stream, TokenCount seen, Milliseconds timeout)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
-    m_changed.wait_for(lock, std::chrono::milliseconds(timeout.count()),
-                       [&stream, seen] { return stream->generated > seen || stream->isOver(); });
+    m_changed.wait_for(lock, std::chrono::milliseconds(timeout.count()), [&stream, seen] {
+        return stream->generated > seen || stream->state >= StreamState::Held;
+    });
     return *stream;
 }
 
@@ -80,6 +83,24 @@
     stream->lastReader = monotonicNow();
 }
 
+bool Engine::touch(const RequestId &id)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::shared_ptr<Stream> &stream : m_streams) {
+        if (stream->request.id == id && !stream->isOver()) {
+            stream->lastReader = monotonicNow();
+            return true;
+        }
+    }
+    return false;
+}
+
+void Engine::suspend(const std::shared_ptr<Stream> &stream)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    stream->isSuspended = true;
+}
+
 void Engine::cancel(const RequestId &id)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -209,7 +230,7 @@
     const double each = std::min(static_cast<double>(m_settings.streamTokensPerSecond),
                                  total / static_cast<double>(decoding));
     for (const std::shared_ptr<Stream> &stream : m_streams) {
-        if (stream->state != StreamState::Decoding)
+        if (stream->state != StreamState::Decoding || stream->isSuspended)
             continue;
         stream->credit += each * seconds;
         const TokenCount whole = static_cast<TokenCount>(stream->credit);
@@ -238,7 +259,7 @@
         m_processed += now;
         budget -= now;
         if (stream->prefilled == stream->request.promptTokens)
-            stream->state = StreamState::Decoding;
+            stream->state = stream->request.isPart ? StreamState::Held : StreamState::Decoding;
     }
 }
 
@@ -300,6 +321,20 @@
     return tokens;
 }
 
+std::uint64_t extendPrompt(std::uint64_t state, const std::string &bytes)
+{
+    for (char byte : bytes) {
+        state ^= static_cast<unsigned char>(byte);
+        state *= 0x100000001b3U;
+    }
+    return state;
+}
+
+std::uint64_t promptHashOf(std::uint64_t state)
+{
+    return Random(state).next();
+}
+
 std::string tokenAt(std::uint64_t promptHash, TokenCount index)
 {
     static constexpr std::array<const char *, 16> words {
--- a/apps/standins/target/engine.h
+++ b/apps/standins/target/engine.h
@@ -36,6 +36,8 @@
 {
     RequestId id;
     std::uint64_t promptHash = 0;
+    std::uint64_t promptState = 0; ///< Behind the last byte, for the part that follows.
+    bool isPart = false; ///< Held after its prefill, for the parts behind it.
     TokenCount promptTokens = 0;
     TokenCount maxTokens = 0;
     TokenCount firstToken = 0; ///< Resume: index of the first token to generate.
@@ -48,6 +50,7 @@
     Waiting, ///< For memory or a slot.
     Prefilling,
     Decoding,
+    Held, ///< A part whose prefill is done.
     Finished,
     Cancelled,
     Expired,
@@ -61,6 +64,7 @@
     TokenCount prefilled = 0;
     TokenCount generated = 0; ///< Index behind the last token that is ready.
     double credit = 0; ///< Fraction of the next token.
+    bool isSuspended = false; ///< Generates nothing, as a part before it is lost.
     int readers = 0;
     Milliseconds lastReader;
 
@@ -98,6 +102,12 @@
     /// @brief Tells that a reader has gone; without readers a stream ends after the resume window.
     void leave(const std::shared_ptr<Stream> &stream);
 
+    /// @brief Notes that a stream is in use by another engine. @return False if there is none.
+    bool touch(const RequestId &id);
+
+    /// @brief Stops a stream from generating until it is opened again.
+    void suspend(const std::shared_ptr<Stream> &stream);
+
     /// @brief Cancels a stream; unknown ids are ignored.
     void cancel(const RequestId &id);
 
@@ -159,6 +169,15 @@
 /// @brief Number of tokens of a prompt. @complexity Linear in its length.
 TokenCount countTokens(const std::string &prompt);
 
+/// @brief State of a prompt before its first byte.
+constexpr std::uint64_t emptyPromptState = 0xcbf29ce484222325U;
+
+/// @brief The state behind further bytes of a prompt; stands for the KV that an engine exports.
+std::uint64_t extendPrompt(std::uint64_t state, const std::string &bytes);
+
+/// @brief The hash that decides the answer to a prompt, from the state behind its last byte.
+std::uint64_t promptHashOf(std::uint64_t state);
+
 /// @brief The token with an index of the answer to a prompt; the same on every engine.
 std::string tokenAt(std::uint64_t promptHash, TokenCount index);
 
--- a/apps/standins/target/main.cpp
+++ b/apps/standins/target/main.cpp
@@ -19,6 +19,7 @@
 #include "http/server.h"
 #include "kernel/daemon.h"
 #include "kernel/settings.h"
+#include "parts.h"
 #include "plain.h"
 
 namespace {
@@ -159,7 +160,8 @@
 {
     StreamRequest request;
     request.id = RequestId(exchange.header(http::requestIdHeader, "unnamed"));
-    request.promptHash = stableHash(prompt.text);
+    request.promptState = extendPrompt(importedState(exchange), prompt.text);
+    request.promptHash = promptHashOf(request.promptState);
     request.promptTokens = countTokens(prompt.text);
     request.maxTokens = prompt.maxTokens;
     request.firstToken = numberOr(exchange.header(http::lastEventIdHeader), -1) + 1;
@@ -171,6 +173,17 @@
     return request;
 }
 
+Result<StreamRequest> readStreamRequest(http::Exchange &exchange)
+{
+    const Result<std::string> body = exchange.readBody(maxBodyBytes);
+    if (!body)
+        return tl::make_unexpected(body.error());
+    const Result<Prompt> prompt = readPrompt(*body);
+    if (!prompt)
+        return tl::make_unexpected(prompt.error());
+    return makeStreamRequest(exchange, *prompt);
+}
+
 void writeToken(std::ostream &out, const StreamRequest &request, TokenCount index)
 {
     out << "id: " << index << "\ndata: {\"id\":\"" << request.id.value
@@ -208,6 +221,7 @@
         m_server.route("GET", "/v1/sent/", [this](http::Exchange &e) { sendSent(e); });
         m_server.route("GET", "/v1/stats", [this](http::Exchange &e) { sendStats(e); });
         m_server.route("POST", "/v1/fault", [this](http::Exchange &e) { setFault(e); });
+        addPartRoutes(m_server, m_engine, readStreamRequest);
         m_server.start(m_address);
         LOG(INFO) << "target: listening address=" << m_address << " mode=engine";
     }
@@ -229,13 +243,10 @@
     void complete(http::Exchange &exchange)
     {
         const Milliseconds opened = monotonicNow();
-        const Result<std::string> body = exchange.readBody(maxBodyBytes);
-        if (!body)
-            return exchange.sendError(body.error());
-        const Result<Prompt> prompt = readPrompt(*body);
-        if (!prompt)
-            return exchange.sendError(prompt.error());
-        const std::shared_ptr<Stream> stream = m_engine.open(makeStreamRequest(exchange, *prompt));
+        const Result<StreamRequest> request = readStreamRequest(exchange);
+        if (!request)
+            return exchange.sendError(request.error());
+        const std::shared_ptr<Stream> stream = m_engine.open(*request);
         if (!stream) {
             return exchange.sendError({ ErrorId::PromptTooLong, Verdict::NotRun,
                                         "the request needs more memory than the engine has",
@@ -259,6 +270,7 @@
         out << std::flush;
         TokenCount sent = first;
         const http::PeerWatch caller(exchange.request());
+        PartsBefore before(exchange.header(http::kvPartsHeader));
         for (;;) {
             const Stream now = m_engine.waitFor(stream, sent, waitSlice);
             if (caller.isGone() || m_isStopping)
@@ -267,6 +279,10 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(waitSlice.count()));
                 continue;
             }
+            if (!before.use(monotonicNow())) {
+                m_engine.suspend(stream);
+                return sendInterruption(out);
+            }
             for (; sent < now.generated; ++sent)
                 writeToken(out, now.request, sent);
             out << std::flush;
@@ -274,14 +290,17 @@
                 return;
             if (now.state == StreamState::Finished)
                 return writeEnd(out, now.request, sent);
-            if (now.isOver()) {
-                out << "event: error\ndata: {\"error\":{\"name\":\"stream-interrupted\"}}\n\n"
-                    << std::flush;
-                return;
-            }
+            if (now.isOver())
+                return sendInterruption(out);
         }
     }
 
+    static void sendInterruption(std::ostream &out)
+    {
+        out << "event: error\ndata: {\"error\":{\"name\":\"stream-interrupted\"}}\n\n"
+            << std::flush;
+    }
+
     void cancel(http::Exchange &exchange)
     {
         m_engine.cancel(RequestId(exchange.rest()));
--- a/src/daemon/http/headers.h
+++ b/src/daemon/http/headers.h
@@ -18,6 +18,8 @@
 constexpr const char *forwardedHeader = "Egretmount-Forwarded"; ///< Set between instances.
 constexpr const char *fenceHeader = "Egretmount-Fence";
 constexpr const char *versionHeader = "Egretmount-Version";
+constexpr const char *kvStateHeader = "Egretmount-Kv-State"; ///< Exported by the part before.
+constexpr const char *kvPartsHeader = "Egretmount-Kv-Parts"; ///< `IP:port/id` of parts before.
 constexpr const char *lastEventIdHeader = "Last-Event-ID"; ///< Resumes a stream behind this offset.
 
 } // namespace egretmount::http
