Few platform watchers, and a start that asks the peers

Cause: every instance watched the platform, a fresh instance served whatever the platform gave it, an invalid document with a higher version was read again at once, and the end of a process waited for its long poll.

Change: two watchers in each availability zone by rendezvous hash; the others learn from heartbeats and read after a jittered silence. A document is in force only after the listed peers answered or 1.5 s passed. Peers exchange chunks of sections by hash, rebuilt text counts only with its digest. A try at this test found that the first instance list counted every peer as asked; mended.

Ruled out: buckets by hash of the section's name, as they lose the order of the sections.

--- a/apps/entry/config_service.cpp
+++ b/apps/entry/config_service.cpp
@@ -1,10 +1,12 @@
 #include "config_service.h"
 
 #include <chrono>
+#include <future>
+#include <stdexcept>
 
 #include <glog/logging.h>
 
-#include "platform/platform_client.h"
+#include <egretmount/membership/selection.h>
 
 namespace egretmount::entry {
 
@@ -13,19 +15,18 @@
 namespace {
 
 constexpr Milliseconds watchTime = 2'000_ms;
-constexpr Milliseconds listInterval = 500_ms;
+constexpr Milliseconds stepInterval = 250_ms;
 constexpr Milliseconds retryInterval = 500_ms;
-
-void pause(Milliseconds duration)
-{
-    std::this_thread::sleep_for(std::chrono::milliseconds(duration.count()));
-}
+constexpr Milliseconds refusedInterval = 1'000_ms;
 
 } // namespace
 
 ConfigService::ConfigService(kernel::Loop &loop, const EntrySettings &settings)
     : m_loop(loop)
-    , m_platformAddress(settings.platformAddress)
+    , m_self(settings.id)
+    , m_fleetClient(settings.platformAddress)
+    , m_listClient(settings.platformAddress)
+    , m_random(stableHash(settings.id.value, static_cast<std::uint64_t>(monotonicNow().count())))
 { }
 
 ConfigService::~ConfigService()
@@ -41,7 +42,13 @@
 
 void ConfigService::stop()
 {
-    m_isStopping = true;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_stopped.notify_all();
+    m_fleetClient.abort();
+    m_listClient.abort();
     if (m_fleetThread.joinable())
         m_fleetThread.join();
     if (m_listThread.joinable())
@@ -53,6 +60,15 @@
     return std::atomic_load(&m_published);
 }
 
+void ConfigService::release()
+{
+    if (m_isReleased)
+        return;
+    m_isReleased = true;
+    if (m_state.document)
+        putInForce();
+}
+
 void ConfigService::offerText(const std::string &text, std::string_view source)
 {
     const config::OfferResult result = config::offer(m_state, text, monotonicNow());
@@ -64,6 +80,14 @@
         return;
     LOG(INFO) << "config: adopted a document version=" << m_state.document->version
               << " source=" << source;
+    if (m_isReleased)
+        putInForce();
+    for (const std::function<void()> &listener : m_onKnown)
+        listener();
+}
+
+void ConfigService::putInForce()
+{
     std::atomic_store(&m_published, m_state.document);
     for (const DocumentListener &listener : m_onDocument)
         listener(*m_state.document);
@@ -71,33 +95,61 @@
 
 void ConfigService::watchFleet()
 {
-    while (!m_isStopping) {
-        const std::shared_ptr<const config::FleetDocument> known = document();
-        const ConfigVersion version = known ? known->version : 0;
+    while (!isStopping()) {
+        Milliseconds delay = stepInterval;
         try {
-            const std::optional<std::string> text =
-                platform::readFleet(m_platformAddress, version, watchTime);
-            if (text)
-                m_loop.post([this, text] { offerText(*text, "platform"); });
+            const Step step = onLoop<Step>([this] { return nextStep(); });
+            if (step.step != config::ReadStep::Wait && !readOnce(step))
+                delay = refusedInterval;
         } catch (const std::exception &error) {
+            if (isStopping())
+                return;
             LOG_EVERY_N(WARNING, 20)
                 << "config: the platform cannot be read reason=\"" << error.what() << '"';
-            pause(retryInterval);
+            m_loop.post([this] { config::noteFailedRead(m_reading, monotonicNow(), m_random); });
+            delay = retryInterval;
         }
+        pause(delay);
     }
 }
 
+ConfigService::Step ConfigService::nextStep() const
+{
+    const bool isWatcher = membership::isPlatformWatcher(m_list, m_self);
+    return { config::nextStep(m_reading, isWatcher, monotonicNow()),
+             m_state.document ? m_state.document->version : 0 };
+}
+
+// False: the platform's document is of no use, and the next watch would return it at once.
+bool ConfigService::readOnce(const Step &step)
+{
+    const Milliseconds wait = step.step == config::ReadStep::Watch ? watchTime : 0_ms;
+    const std::optional<std::string> text = m_fleetClient.readFleet(step.known, wait);
+    const Milliseconds now = monotonicNow();
+    return onLoop<bool>([this, text, now] {
+        config::noteRead(m_reading, now, m_random);
+        if (!text)
+            return true;
+        offerText(*text, "platform");
+        return m_state.text == *text;
+    });
+}
+
 void ConfigService::watchInstances()
 {
-    while (!m_isStopping) {
+    while (!isStopping()) {
+        Milliseconds delay = retryInterval;
         try {
-            const std::string text = platform::readInstances(m_platformAddress);
-            m_loop.post([this, text] { takeList(text); });
+            const std::string text = m_listClient.readInstances();
+            delay = onLoop<Milliseconds>([this, text] {
+                takeList(text);
+                const Milliseconds interval = config::listInterval(m_list.size());
+                return m_random.between(interval / 2, interval);
+            });
         } catch (const std::exception &) {
             // The other thread logs an outage; the list in hand stays in use.
-            pause(retryInterval);
         }
-        pause(listInterval);
+        pause(delay);
     }
 }
 
@@ -113,9 +165,39 @@
         return;
     }
     m_listText = text;
+    m_list = *list;
     LOG(INFO) << "config: read an instance list instances=" << list->size();
     for (const ListListener &listener : m_onList)
         listener(*list);
 }
 
+// Not Loop::call: a loop that never runs, as after a failed start, would not answer.
+template<typename Value>
+Value ConfigService::onLoop(std::function<Value()> function)
+{
+    using Task = std::packaged_task<Value()>;
+    const std::shared_ptr<Task> task = std::make_shared<Task>(std::move(function));
+    std::future<Value> result = task->get_future();
+    m_loop.post([task] { (*task)(); });
+    const std::chrono::milliseconds interval(stepInterval.count());
+    while (result.wait_for(interval) != std::future_status::ready) {
+        if (isStopping())
+            throw std::runtime_error("the service was stopped");
+    }
+    return result.get();
+}
+
+void ConfigService::pause(Milliseconds duration)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_stopped.wait_for(lock, std::chrono::milliseconds(duration.count()),
+                       [this] { return m_isStopping; });
+}
+
+bool ConfigService::isStopping()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_isStopping;
+}
+
 } // namespace egretmount::entry
--- a/apps/entry/peer_server.cpp
+++ b/apps/entry/peer_server.cpp
@@ -2,6 +2,8 @@
 
 #include <kj/debug.h>
 
+#include <egretmount/config/chunks.h>
+
 #include "config_service.h"
 #include "peer_service.h"
 
@@ -30,14 +32,45 @@
 
     kj::Promise<void> document(DocumentContext context) override
     {
-        const ConfigService &config = m_registry.find<ConfigService>();
-        const std::shared_ptr<const config::FleetDocument> document = config.document();
-        if (document && document->version >= context.getParams().getVersion())
-            context.getResults().setText(config.text());
+        const config::ConfigState &known = m_registry.find<ConfigService>().known();
+        if (known.document && known.document->version >= context.getParams().getVersion())
+            context.getResults().setText(known.text);
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> changedSections(ChangedSectionsContext context) override
+    {
+        const config::ConfigState &known = m_registry.find<ConfigService>().known();
+        if (!known.document)
+            return kj::READY_NOW;
+        std::vector<std::uint64_t> have;
+        for (const wire::SectionDigest::Reader section : context.getParams().getHave())
+            have.push_back(section.getHash());
+        const config::DocumentUpdate update = config::makeUpdate(known.text, std::move(have));
+        ChangedSectionsResults::Builder results = context.getResults();
+        const Digest &digest = known.document->digest;
+        results.setVersion(known.document->version);
+        results.setDigest(kj::arrayPtr(digest.data(), digest.size()));
+        writeUpdate(update, results);
         return kj::READY_NOW;
     }
 
 private:
+    static void writeUpdate(const config::DocumentUpdate &update,
+                            ChangedSectionsResults::Builder results)
+    {
+        unsigned int index = 0;
+        capnp::List<std::uint64_t>::Builder order =
+            results.initOrder(static_cast<unsigned int>(update.order.size()));
+        for (const std::uint64_t hash : update.order)
+            order.set(index++, hash);
+        index = 0;
+        capnp::List<wire::SectionText>::Builder changed =
+            results.initChanged(static_cast<unsigned int>(update.changed.size()));
+        for (const std::string &text : update.changed)
+            changed[index++].setText(text);
+    }
+
     kernel::Registry &m_registry;
     rpc::PeerIdentity m_caller;
 };
--- a/apps/entry/peer_service.cpp
+++ b/apps/entry/peer_service.cpp
@@ -6,6 +6,8 @@
 #include <glog/logging.h>
 #include <kj/debug.h>
 
+#include <egretmount/membership/selection.h>
+
 #include "config_service.h"
 #include "peer_server.h"
 
@@ -16,7 +18,9 @@
 namespace {
 
 constexpr Milliseconds beatInterval = 300_ms;
-constexpr auto callTimeout = 1000 * kj::MILLISECONDS;
+constexpr Milliseconds linkIdleTime = 30'000_ms;
+constexpr kj::Duration callTimeout = 1000 * kj::MILLISECONDS;
+constexpr kj::Duration fetchTimeout = 3000 * kj::MILLISECONDS;
 
 // Restarted processes must have higher numbers, and they keep nothing: hence the wall clock.
 Incarnation makeIncarnation()
@@ -27,6 +31,39 @@
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+std::string toString(capnp::Data::Reader data)
+{
+    return { reinterpret_cast<const char *>(data.begin()), data.size() };
+}
+
+membership::PeerView readView(wire::Heartbeat::Reader beat, Milliseconds now)
+{
+    const rpc::PeerIdentity sender = rpc::readIdentity(beat.getSender());
+    membership::PeerView heard;
+    heard.run = sender.run;
+    heard.zone = sender.zone;
+    heard.httpAddress = sender.httpAddress;
+    heard.lastHeard = now;
+    heard.configVersion = beat.getConfigVersion();
+    heard.isDraining = beat.getIsDraining();
+    return heard;
+}
+
+void writeClaims(const std::vector<membership::Claim> &claims, wire::Heartbeat::Builder beat,
+                 Milliseconds now)
+{
+    capnp::List<wire::PeerClaim>::Builder list =
+        beat.initClaims(static_cast<unsigned int>(claims.size()));
+    unsigned int index = 0;
+    for (const membership::Claim &claim : claims) {
+        wire::PeerClaim::Builder row = list[index++];
+        rpc::writeRun(claim.reporter, row.initReporter());
+        rpc::writeRun(claim.subject, row.initSubject());
+        row.setAgeMs((now - claim.at).count());
+        row.setIsDraining(claim.kind == membership::ClaimKind::Draining);
+    }
+}
+
 } // namespace
 
 PeerService::PeerService(kernel::Loop &loop, kernel::Registry &registry,
@@ -65,7 +102,18 @@
                                    << " reason=\"" << error.getDescription().cStr() << '"';
                         m_loop.stop();
                     }));
-    m_loop.every(beatInterval, [this] { beat(); });
+    m_registry.find<ConfigService>().onKnown([this] {
+        checkStartup();
+        beat();
+    });
+    m_loop.onPause([this](Milliseconds) {
+        membership::notePause(m_membership, monotonicNow());
+        beat();
+    });
+    m_loop.every(beatInterval, [this] {
+        checkStartup();
+        beat();
+    });
 }
 
 void PeerService::stop()
@@ -74,11 +122,20 @@
     m_listening = nullptr;
 }
 
+void PeerService::setDraining()
+{
+    m_isDraining = true;
+    beat();
+}
+
 kj::Maybe<wire::Peer::Client> PeerService::peer(const InstanceId &id)
 {
     const auto link = m_links.find(id);
     if (link == m_links.end())
         return nullptr;
+    link->second.usedAt = monotonicNow();
+    if (link->second.peer == nullptr)
+        connect(id, link->second);
     KJ_IF_MAYBE (client, link->second.peer)
         return *client;
     return nullptr;
@@ -86,63 +143,141 @@
 
 void PeerService::takeHeartbeat(wire::Heartbeat::Reader beat)
 {
-    const rpc::PeerIdentity sender = rpc::readIdentity(beat.getSender());
-    membership::PeerView heard;
-    heard.run = sender.run;
-    heard.zone = sender.zone;
-    heard.httpAddress = sender.httpAddress;
-    heard.lastHeard = monotonicNow();
-    heard.configVersion = beat.getConfigVersion();
-    heard.isDraining = beat.getIsDraining();
+    const Milliseconds now = monotonicNow();
+    const membership::PeerView heard = readView(beat, now);
+    const membership::PeerView *before = membership::findPeer(m_membership, heard.run.instance);
+    const bool wasDraining = before && before->isDraining;
     if (!membership::noteHeartbeat(m_membership, heard))
         return;
-    const std::shared_ptr<const config::FleetDocument> own =
-        m_registry.find<ConfigService>().document();
-    if (heard.configVersion > (own ? own->version : 0))
-        fetchDocument(heard.run.instance, heard.configVersion);
+    ConfigService &config = m_registry.find<ConfigService>();
+    if (beat.getPlatformAgeMs() >= 0)
+        config.noteReadByPeer(now - Milliseconds(beat.getPlatformAgeMs()));
+    takeClaims(beat, now);
+    if (knowsBetter(beat))
+        fetchDocument(heard.run.instance);
+    else
+        membership::noteStartupAnswer(m_startup, heard.run.instance);
+    checkStartup();
+    if (heard.isDraining && !wasDraining)
+        m_loop.post([this] { this->beat(); });
+}
+
+void PeerService::takeClaims(wire::Heartbeat::Reader beat, Milliseconds now)
+{
+    bool hasNews = false;
+    for (const wire::PeerClaim::Reader row : beat.getClaims()) {
+        membership::Claim claim;
+        claim.reporter = rpc::readRun(row.getReporter());
+        claim.subject = rpc::readRun(row.getSubject());
+        claim.at = now - Milliseconds(std::max<std::int64_t>(row.getAgeMs(), 0));
+        if (row.getIsDraining())
+            claim.kind = membership::ClaimKind::Draining;
+        hasNews = membership::noteClaim(m_membership, claim, now) || hasNews;
+    }
+    if (hasNews)
+        m_loop.post([this] { this->beat(); });
 }
 
 void PeerService::writeHeartbeat(wire::Heartbeat::Builder beat) const
 {
+    const Milliseconds now = monotonicNow();
     rpc::writeIdentity(m_self, beat.initSender());
-    const std::shared_ptr<const config::FleetDocument> document =
-        m_registry.find<ConfigService>().document();
-    beat.setConfigVersion(document ? document->version : 0);
+    const ConfigService &config = m_registry.find<ConfigService>();
+    const std::shared_ptr<const config::FleetDocument> &document = config.known().document;
+    if (document) {
+        beat.setConfigVersion(document->version);
+        beat.setConfigDigest(kj::arrayPtr(document->digest.data(), document->digest.size()));
+    }
     beat.setIsDraining(m_isDraining);
+    const config::ReadingState &reading = config.reading();
+    beat.setPlatformAgeMs(reading.isConfirmed ? (now - reading.confirmedAt).count() : -1);
+    writeClaims(membership::claimsToSend(m_membership, now), beat, now);
 }
 
 void PeerService::takeList(const membership::InstanceList &list)
 {
-    m_membership.listed = list;
+    const Milliseconds now = monotonicNow();
+    membership::takeList(m_membership, list, now);
+    membership::noteFirstList(m_startup, list, m_self.run.instance, now);
     for (const membership::ListedInstance &instance : list) {
-        if (instance.id != m_self.run.instance)
-            m_links[instance.id].address = instance.rpcAddress;
+        if (instance.id == m_self.run.instance)
+            continue;
+        Link &link = m_links[instance.id];
+        if (link.address != instance.rpcAddress)
+            drop(instance.id, link.number);
+        link.address = instance.rpcAddress;
     }
     for (auto link = m_links.begin(); link != m_links.end();) {
-        if (membership::findListed(list, link->first) || link->second.isBusy)
+        if (membership::findListed(list, link->first))
             ++link;
         else
             link = m_links.erase(link);
     }
+    checkStartup();
+    beat();
+}
+
+void PeerService::checkStartup()
+{
+    if (membership::isCaughtUp(m_startup, monotonicNow()))
+        m_registry.find<ConfigService>().release();
+}
+
+bool PeerService::isWanted(const InstanceId &id, const Link &link) const
+{
+    const std::vector<InstanceId> &chosen = m_membership.chosen;
+    const std::vector<InstanceId> &awaited = m_startup.awaited;
+    const bool isUsed = link.usedAt > Milliseconds() && monotonicNow() - link.usedAt < linkIdleTime;
+    return isUsed || std::binary_search(chosen.begin(), chosen.end(), id)
+           || std::binary_search(awaited.begin(), awaited.end(), id);
 }
 
 void PeerService::beat()
 {
+    std::vector<InstanceId> wanted;
     for (std::pair<const InstanceId, Link> &entry : m_links) {
-        Link &link = entry.second;
-        if (link.isBusy)
-            continue;
-        link.isBusy = true;
-        const InstanceId id = entry.first;
-        kj::Promise<void> work = link.peer == nullptr ? connect(id) : sendHeartbeat(id);
+        if (isWanted(entry.first, entry.second))
+            wanted.push_back(entry.first);
+        else if (!entry.second.isBusy)
+            drop(entry.first, entry.second.number);
+    }
+    for (const InstanceId &id : wanted)
+        beatOne(id);
+}
+
+void PeerService::beatOne(const InstanceId &id)
+{
+    Link &link = m_links[id];
+    if (link.isBusy)
+        return;
+    if (link.peer == nullptr)
+        connect(id, link);
+    link.isBusy = true;
+    const std::uint64_t number = link.number;
+    KJ_IF_MAYBE (client, link.peer) {
         m_loop.keep(m_loop.timer()
-                        .timeoutAfter(callTimeout, kj::mv(work))
-                        .then([this, id] { m_links[id].isBusy = false; },
-                              [this, id](kj::Exception &&) { drop(id); }));
+                        .timeoutAfter(callTimeout, sendHeartbeat(*client))
+                        .then(
+                            [this, id, number] {
+                                const auto done = m_links.find(id);
+                                if (done != m_links.end() && done->second.number == number)
+                                    done->second.isBusy = false;
+                            },
+                            [this, id, number](kj::Exception &&) {
+                                membership::noteStartupAnswer(m_startup, id);
+                                drop(id, number);
+                            }));
     }
 }
 
-kj::Promise<void> PeerService::connect(const InstanceId &id)
+void PeerService::connect(const InstanceId &id, Link &link)
+{
+    link.number = ++m_connections;
+    link.peer = wire::Peer::Client(openConnection(id, link.number));
+}
+
+kj::Promise<wire::Peer::Client> PeerService::openConnection(const InstanceId &id,
+                                                            std::uint64_t number)
 {
     return m_loop.io()
         .getNetwork()
@@ -151,48 +286,104 @@
             kj::Promise<kj::Own<kj::AsyncIoStream>> stream = address->connect();
             return stream.attach(kj::mv(address));
         })
-        .then([this, id](kj::Own<kj::AsyncIoStream> stream) {
-            Link &link = m_links[id];
-            link.stream = kj::mv(stream);
-            link.client = kj::heap<capnp::TwoPartyClient>(*link.stream);
-            return rpc::enterGate(link.client->bootstrap().castAs<wire::Gate>(), m_fleetKey,
+        .then([this, id, number](kj::Own<kj::AsyncIoStream> stream) {
+            const auto link = m_links.find(id);
+            KJ_REQUIRE(link != m_links.end() && link->second.number == number,
+                       "the connection is not wanted any more");
+            link->second.stream = kj::mv(stream);
+            link->second.client = kj::heap<capnp::TwoPartyClient>(*link->second.stream);
+            return rpc::enterGate(link->second.client->bootstrap().castAs<wire::Gate>(), m_fleetKey,
                                   m_self);
-        })
-        .then([this, id](wire::Peer::Client peer) { m_links[id].peer = kj::mv(peer); });
+        });
 }
 
-kj::Promise<void> PeerService::sendHeartbeat(const InstanceId &id)
+kj::Promise<void> PeerService::sendHeartbeat(wire::Peer::Client peer)
 {
-    KJ_IF_MAYBE (client, m_links[id].peer) {
-        auto request = client->heartbeatRequest();
-        writeHeartbeat(request.initBeat());
-        return request.send().then([this](auto &&answer) { takeHeartbeat(answer.getBeat()); });
-    }
-    return kj::READY_NOW;
+    auto request = peer.heartbeatRequest();
+    writeHeartbeat(request.initBeat());
+    return request.send().then([this](auto &&answer) { takeHeartbeat(answer.getBeat()); });
+}
+
+bool PeerService::knowsBetter(wire::Heartbeat::Reader beat) const
+{
+    const std::shared_ptr<const config::FleetDocument> &own =
+        m_registry.find<ConfigService>().known().document;
+    const ConfigVersion version = beat.getConfigVersion();
+    if (!own || version != own->version)
+        return version > (own ? own->version : 0);
+    return toString(beat.getConfigDigest()) > bytesOf(own->digest);
 }
 
-void PeerService::fetchDocument(const InstanceId &id, ConfigVersion version)
+void PeerService::fetchDocument(const InstanceId &id)
 {
+    if (m_isFetching)
+        return;
     KJ_IF_MAYBE (client, peer(id)) {
-        auto request = client->documentRequest();
-        request.setVersion(version);
-        m_loop.keep(request.send().then(
-            [this](auto &&answer) {
-                const std::string text = answer.getText().cStr();
-                if (!text.empty())
-                    m_registry.find<ConfigService>().offerText(text, "peer");
-            },
-            [](kj::Exception &&) { /* the next heartbeat asks again */ }));
+        m_isFetching = true;
+        kj::Promise<void> work = m_registry.find<ConfigService>().known().document
+                                     ? fetchChanges(*client)
+                                     : fetchWhole(*client);
+        m_loop.keep(m_loop.timer()
+                        .timeoutAfter(fetchTimeout, kj::mv(work))
+                        .then([this] { m_isFetching = false; },
+                              [this](kj::Exception &&) {
+                                  // The next heartbeat of a peer with a newer one asks again.
+                                  m_isFetching = false;
+                              }));
     }
 }
 
-void PeerService::drop(const InstanceId &id)
+kj::Promise<void> PeerService::fetchChanges(wire::Peer::Client peer)
 {
-    Link &link = m_links[id];
-    link.peer = nullptr;
-    link.client = nullptr;
-    link.stream = nullptr;
-    link.isBusy = false;
+    const std::vector<config::Chunk> chunks =
+        config::splitIntoChunks(m_registry.find<ConfigService>().known().text);
+    auto request = peer.changedSectionsRequest();
+    capnp::List<wire::SectionDigest>::Builder have =
+        request.initHave(static_cast<unsigned int>(chunks.size()));
+    unsigned int index = 0;
+    for (const config::Chunk &chunk : chunks)
+        have[index++].setHash(chunk.hash);
+    return request.send().then([this, peer](auto &&answer) mutable -> kj::Promise<void> {
+        config::DocumentUpdate update;
+        for (const std::uint64_t hash : answer.getOrder())
+            update.order.push_back(hash);
+        for (const wire::SectionText::Reader section : answer.getChanged())
+            update.changed.emplace_back(section.getText().cStr());
+        Digest digest {};
+        const capnp::Data::Reader bytes = answer.getDigest();
+        if (bytes.size() == digest.size())
+            std::copy(bytes.begin(), bytes.end(), digest.begin());
+        ConfigService &config = m_registry.find<ConfigService>();
+        const std::optional<std::string> text =
+            config::applyUpdate(config.known().text, update, digest);
+        if (!text)
+            return fetchWhole(kj::mv(peer));
+        LOG(INFO) << "peers: received a document's changes chunks=" << update.changed.size()
+                  << " words=" << answer.totalSize().wordCount;
+        config.offerText(*text, "peer");
+        return kj::READY_NOW;
+    });
+}
+
+kj::Promise<void> PeerService::fetchWhole(wire::Peer::Client peer)
+{
+    auto request = peer.documentRequest();
+    return request.send().then([this](auto &&answer) {
+        const std::string text = answer.getText().cStr();
+        if (!text.empty())
+            m_registry.find<ConfigService>().offerText(text, "peer");
+    });
+}
+
+void PeerService::drop(const InstanceId &id, std::uint64_t number)
+{
+    const auto link = m_links.find(id);
+    if (link == m_links.end() || link->second.number != number)
+        return;
+    link->second.peer = nullptr;
+    link->second.client = nullptr;
+    link->second.stream = nullptr;
+    link->second.isBusy = false;
 }
 
 } // namespace egretmount::entry
--- a/apps/entry/peer_service.h
+++ b/apps/entry/peer_service.h
@@ -6,6 +6,8 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
+#include <egretmount/config/chunks.h>
+#include <egretmount/membership/startup.h>
 #include <egretmount/membership/view.h>
 
 #include "entry_settings.h"
@@ -34,10 +36,11 @@
     const rpc::PeerIdentity &self() const { return m_self; }
 
     /// @brief Says in heartbeats and to callers that this instance leaves.
-    void setDraining() { m_isDraining = true; }
+    void setDraining();
     bool isDraining() const { return m_isDraining; }
 
-    /// @brief The connection to an instance. @return Nothing while there is none.
+    /// @brief The connection to an instance; opened if need be, its calls wait until it is.
+    /// @return Nothing for an instance that is not listed.
     kj::Maybe<wire::Peer::Client> peer(const InstanceId &id);
 
     /// @brief Takes in a heartbeat from either end of a connection.
@@ -52,15 +55,25 @@
         kj::Own<capnp::TwoPartyClient> client;
         kj::Maybe<wire::Peer::Client> peer;
         std::string address;
-        bool isBusy = false; // a connection attempt or a heartbeat is under way
+        std::uint64_t number = 0; // of the connection attempt, to tell a late failure
+        bool isBusy = false; // a heartbeat is under way
+        Milliseconds usedAt; // by another service
     };
 
     void takeList(const membership::InstanceList &list);
+    void takeClaims(wire::Heartbeat::Reader beat, Milliseconds now);
+    void checkStartup();
     void beat();
-    kj::Promise<void> connect(const InstanceId &id);
-    kj::Promise<void> sendHeartbeat(const InstanceId &id);
-    void fetchDocument(const InstanceId &id, ConfigVersion version);
-    void drop(const InstanceId &id);
+    void beatOne(const InstanceId &id);
+    bool isWanted(const InstanceId &id, const Link &link) const;
+    void connect(const InstanceId &id, Link &link);
+    kj::Promise<wire::Peer::Client> openConnection(const InstanceId &id, std::uint64_t number);
+    kj::Promise<void> sendHeartbeat(wire::Peer::Client peer);
+    bool knowsBetter(wire::Heartbeat::Reader beat) const;
+    void fetchDocument(const InstanceId &id);
+    kj::Promise<void> fetchChanges(wire::Peer::Client peer);
+    kj::Promise<void> fetchWhole(wire::Peer::Client peer);
+    void drop(const InstanceId &id, std::uint64_t number);
 
     kernel::Loop &m_loop;
     kernel::Registry &m_registry;
@@ -68,7 +81,10 @@
     std::string m_listenAddress;
     rpc::PeerIdentity m_self;
     membership::MembershipState m_membership;
+    membership::StartupState m_startup;
     bool m_isDraining = false;
+    bool m_isFetching = false;
+    std::uint64_t m_connections = 0;
     std::map<InstanceId, Link> m_links;
     kj::Own<capnp::TwoPartyServer> m_server;
     kj::Own<kj::ConnectionReceiver> m_receiver;
--- a/include/egretmount/config/adoption.h
+++ b/include/egretmount/config/adoption.h
@@ -14,6 +14,8 @@
     std::shared_ptr<const FleetDocument> document; ///< Null until the first adoption.
     std::string text; ///< The text of `document`, for peers.
     Milliseconds adoptedAt;
+    std::string refusedText; ///< The last text that did not validate, to check it only once.
+    std::vector<Problem> refusedProblems;
 };
 
 /// @brief What became of an offered document.
@@ -35,7 +37,7 @@
 ///
 /// The highest version wins; of two documents with one version, the one with the higher digest, so
 /// that all instances converge. A lower version never replaces a higher one.
-/// @complexity That of `parseFleetDocument`; constant for the text already in force.
+/// @complexity That of `parseFleetDocument`; linear for the text in force or last refused.
 OfferResult offer(ConfigState &state, const std::string &text, Milliseconds now);
 
 } // namespace egretmount::config
--- /dev/null
+++ b/src/config/chunks.cpp
@@ -0,0 +1,78 @@
+#include <egretmount/config/chunks.h>
+
+#include <algorithm>
+#include <map>
+
+namespace egretmount::config {
+
+namespace {
+
+bool startsChunk(std::string_view headerLine)
+{
+    return stableHash(headerLine) % sectionsPerChunk == 0;
+}
+
+std::string_view lineAt(std::string_view text, std::size_t begin)
+{
+    return text.substr(begin, text.find('\n', begin) - begin);
+}
+
+Chunk makeChunk(std::string_view text)
+{
+    return { stableHash(text), text };
+}
+
+} // namespace
+
+std::vector<Chunk> splitIntoChunks(std::string_view text)
+{
+    std::vector<Chunk> chunks;
+    std::size_t begin = 0;
+    for (std::size_t at = text.find("\n["); at != std::string_view::npos;
+         at = text.find("\n[", at + 1)) {
+        const std::size_t header = at + 1;
+        // The first section holds the version, so it changes always and stands alone.
+        const bool isSecondSection = chunks.empty();
+        if (!isSecondSection && !startsChunk(lineAt(text, header)))
+            continue;
+        chunks.push_back(makeChunk(text.substr(begin, header - begin)));
+        begin = header;
+    }
+    if (begin < text.size())
+        chunks.push_back(makeChunk(text.substr(begin)));
+    return chunks;
+}
+
+DocumentUpdate makeUpdate(std::string_view text, std::vector<std::uint64_t> have)
+{
+    std::sort(have.begin(), have.end());
+    DocumentUpdate update;
+    for (const Chunk &chunk : splitIntoChunks(text)) {
+        update.order.push_back(chunk.hash);
+        if (!std::binary_search(have.begin(), have.end(), chunk.hash))
+            update.changed.emplace_back(chunk.text);
+    }
+    return update;
+}
+
+std::optional<std::string> applyUpdate(std::string_view ownText, const DocumentUpdate &update,
+                                       const Digest &digest)
+{
+    std::map<std::uint64_t, std::string_view> known;
+    for (const Chunk &chunk : splitIntoChunks(ownText))
+        known[chunk.hash] = chunk.text;
+    for (const std::string &text : update.changed)
+        known[stableHash(text)] = text;
+    std::string whole;
+    for (const std::uint64_t hash : update.order) {
+        const auto found = known.find(hash);
+        if (found == known.end())
+            return std::nullopt;
+        whole += found->second;
+    }
+    if (sha256(whole) != digest)
+        return std::nullopt;
+    return whole;
+}
+
+} // namespace egretmount::config
--- a/src/daemon/rpc/peer.capnp
+++ b/src/daemon/rpc/peer.capnp
@@ -37,6 +37,19 @@
   isDraining @3 :Bool;
   suspects @4 :List(InstanceRun);
   # Instances that the sender cannot reach.
+  platformAgeMs @5 :Int64 = -1;
+  # Time since some instance is known to have read the platform; below zero: not known.
+  claims @6 :List(PeerClaim);
+  # What instances say of others; passed on, as no instance hears all others itself.
+}
+
+struct PeerClaim {
+  # One instance's word on another one that it exchanges heartbeats with.
+  reporter @0 :InstanceRun;
+  subject @1 :InstanceRun;
+  ageMs @2 :Int64;
+  isDraining @3 :Bool;
+  # True: the subject leaves. False: the subject is silent.
 }
 
 struct SectionDigest {
@@ -117,7 +130,8 @@
   heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
   document @1 (version :UInt64) -> (text :Text);
   # The whole fleet document in force, if its version is at least `version`; else empty.
-  changedSections @2 (have :List(SectionDigest)) -> (version :UInt64, digest :Data, changed :List(SectionText), removed :List(Text));
+  changedSections @2 (have :List(SectionDigest)) -> (version :UInt64, digest :Data, changed :List(SectionText), removed :List(Text), order :List(UInt64));
+  # The receiver's chunks of the document in order, and the text of those that the caller lacks.
   requestCredit @3 (request :CreditRequest) -> (grant :CreditGrant);
   returnCredit @4 (done :CreditReturn);
   requestLease @5 (request :LeaseRequest) -> (reply :LeaseReply);
--- a/src/daemon/rpc/peer.capnp.h
+++ b/src/daemon/rpc/peer.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(c9a072ed710706df);
 CAPNP_DECLARE_SCHEMA(adc6b437a2331828);
 CAPNP_DECLARE_SCHEMA(dfe576e9eea2b85c);
+CAPNP_DECLARE_SCHEMA(80e0c6716cafde5b);
 CAPNP_DECLARE_SCHEMA(bfe27013dcf3998e);
 CAPNP_DECLARE_SCHEMA(a4fafe08c0148e40);
 CAPNP_DECLARE_SCHEMA(83f4e5b3b2cadc7c);
@@ -204,7 +205,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dfe576e9eea2b85c, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(dfe576e9eea2b85c, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerClaim {
+  PeerClaim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(80e0c6716cafde5b, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -449,7 +465,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e1c1c76cb9d7b04c, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e1c1c76cb9d7b04c, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1307,6 +1323,11 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::egretmount::wire::InstanceRun,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline  ::int64_t getPlatformAgeMs() const;
+
+  inline bool hasClaims() const;
+  inline  ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Reader getClaims() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1362,6 +1383,16 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::egretmount::wire::InstanceRun,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::egretmount::wire::InstanceRun,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline  ::int64_t getPlatformAgeMs();
+  inline void setPlatformAgeMs( ::int64_t value);
+
+  inline bool hasClaims();
+  inline  ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Builder getClaims();
+  inline void setClaims( ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Builder initClaims(unsigned int size);
+  inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>> disownClaims();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1389,6 +1420,109 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerClaim::Reader {
+public:
+  typedef PeerClaim Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReporter() const;
+  inline  ::egretmount::wire::InstanceRun::Reader getReporter() const;
+
+  inline bool hasSubject() const;
+  inline  ::egretmount::wire::InstanceRun::Reader getSubject() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+  inline bool getIsDraining() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerClaim::Builder {
+public:
+  typedef PeerClaim Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReporter();
+  inline  ::egretmount::wire::InstanceRun::Builder getReporter();
+  inline void setReporter( ::egretmount::wire::InstanceRun::Reader value);
+  inline  ::egretmount::wire::InstanceRun::Builder initReporter();
+  inline void adoptReporter(::capnp::Orphan< ::egretmount::wire::InstanceRun>&& value);
+  inline ::capnp::Orphan< ::egretmount::wire::InstanceRun> disownReporter();
+
+  inline bool hasSubject();
+  inline  ::egretmount::wire::InstanceRun::Builder getSubject();
+  inline void setSubject( ::egretmount::wire::InstanceRun::Reader value);
+  inline  ::egretmount::wire::InstanceRun::Builder initSubject();
+  inline void adoptSubject(::capnp::Orphan< ::egretmount::wire::InstanceRun>&& value);
+  inline ::capnp::Orphan< ::egretmount::wire::InstanceRun> disownSubject();
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+  inline bool getIsDraining();
+  inline void setIsDraining(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerClaim::Pipeline {
+public:
+  typedef PeerClaim Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::egretmount::wire::InstanceRun::Pipeline getReporter();
+  inline  ::egretmount::wire::InstanceRun::Pipeline getSubject();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SectionDigest::Reader {
 public:
   typedef SectionDigest Reads;
@@ -2738,6 +2872,9 @@
   inline bool hasRemoved() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemoved() const;
 
+  inline bool hasOrder() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getOrder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2791,6 +2928,14 @@
   inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemoved();
 
+  inline bool hasOrder();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getOrder();
+  inline void setOrder( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOrder(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initOrder(unsigned int size);
+  inline void adoptOrder(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownOrder();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4241,6 +4386,160 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Heartbeat::Reader::getPlatformAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Heartbeat::Builder::getPlatformAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Heartbeat::Builder::setPlatformAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool Heartbeat::Reader::hasClaims() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasClaims() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getClaims() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setClaims( ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initClaims(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptClaims(
+    ::capnp::Orphan< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::egretmount::wire::PeerClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool PeerClaim::Reader::hasReporter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerClaim::Builder::hasReporter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::egretmount::wire::InstanceRun::Reader PeerClaim::Reader::getReporter() const {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::egretmount::wire::InstanceRun::Builder PeerClaim::Builder::getReporter() {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::egretmount::wire::InstanceRun::Pipeline PeerClaim::Pipeline::getReporter() {
+  return  ::egretmount::wire::InstanceRun::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PeerClaim::Builder::setReporter( ::egretmount::wire::InstanceRun::Reader value) {
+  ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::egretmount::wire::InstanceRun::Builder PeerClaim::Builder::initReporter() {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerClaim::Builder::adoptReporter(
+    ::capnp::Orphan< ::egretmount::wire::InstanceRun>&& value) {
+  ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::egretmount::wire::InstanceRun> PeerClaim::Builder::disownReporter() {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerClaim::Reader::hasSubject() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerClaim::Builder::hasSubject() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::egretmount::wire::InstanceRun::Reader PeerClaim::Reader::getSubject() const {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::egretmount::wire::InstanceRun::Builder PeerClaim::Builder::getSubject() {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::egretmount::wire::InstanceRun::Pipeline PeerClaim::Pipeline::getSubject() {
+  return  ::egretmount::wire::InstanceRun::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PeerClaim::Builder::setSubject( ::egretmount::wire::InstanceRun::Reader value) {
+  ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::egretmount::wire::InstanceRun::Builder PeerClaim::Builder::initSubject() {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerClaim::Builder::adoptSubject(
+    ::capnp::Orphan< ::egretmount::wire::InstanceRun>&& value) {
+  ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::egretmount::wire::InstanceRun> PeerClaim::Builder::disownSubject() {
+  return ::capnp::_::PointerHelpers< ::egretmount::wire::InstanceRun>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t PeerClaim::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerClaim::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerClaim::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerClaim::Reader::getIsDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerClaim::Builder::getIsDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PeerClaim::Builder::setIsDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SectionDigest::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5371,6 +5670,44 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ChangedSectionsResults::Reader::hasOrder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ChangedSectionsResults::Builder::hasOrder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::ChangedSectionsResults::Reader::getOrder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::ChangedSectionsResults::Builder::getOrder() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Peer::ChangedSectionsResults::Builder::setOrder( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Peer::ChangedSectionsResults::Builder::setOrder(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::ChangedSectionsResults::Builder::initOrder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ChangedSectionsResults::Builder::adoptOrder(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::ChangedSectionsResults::Builder::disownOrder() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::RequestCreditParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
