--- a/apps/entry/status_service.cpp
+++ b/apps/entry/status_service.cpp
@@ -72,25 +72,24 @@
     return count;
 }
 
-Object explain(const std::vector<routing::TargetView> &views, const Request &request,
-               const ZoneId &zone, Milliseconds now)
+Object explain(const routing::DispatchState &state, const Request &request, Milliseconds now)
 {
-    const routing::TargetView *choice = routing::chooseTarget(views, request, zone, now);
+    const std::optional<TargetId> choice = routing::likelyTarget(state, request, now);
     Array rows;
-    for (const routing::TargetView &view : views) {
+    for (const routing::TargetView &view : state.targets) {
         const routing::Obstacle obstacle = routing::obstacleFor(view, request, now);
         if (obstacle == routing::Obstacle::OtherService)
             continue;
         Object row;
         row.set("target", view.id.value);
         row.set("obstacle", std::string(nameOf(obstacle)));
-        row.set("reason", &view == choice ? "chosen: least work before the request"
-                                          : routing::describe(obstacle));
+        row.set("reason", view.id == choice ? "chosen: least work before the request"
+                                            : routing::describe(obstacle));
         rows.add(row);
     }
     Object answer;
     answer.set("targets", rows);
-    answer.set("summary", choice ? "the request would go to " + choice->id.value + " now"
+    answer.set("summary", choice ? "the request would go to " + choice->value + " now"
                                  : std::string("no target can take the request now"));
     return answer;
 }
@@ -128,7 +127,7 @@
     request.promptTokens = tokens;
     const std::string body = m_loop.call([this, &request] {
         const DispatchService &dispatch = m_registry.find<DispatchService>();
-        return stringify(explain(dispatch.targets(), request, m_zone, monotonicNow()));
+        return stringify(explain(dispatch.state(), request, monotonicNow()));
     });
     exchange.send(HTTPResponse::HTTP_OK, jsonType, body);
 }
@@ -148,7 +147,7 @@
     status.set("requests", m_registry.find<CallerService>().current());
     status.set("peers_heard", heardPeers(peers.membership(), now));
     status.set("listed", listedRows(peers.membership(), now));
-    status.set("targets", targetRows(m_registry.find<DispatchService>().targets()));
+    status.set("targets", targetRows(m_registry.find<DispatchService>().state().targets));
     return stringify(status);
 }
 
--- a/include/egretmount/routing/explain.h
+++ b/include/egretmount/routing/explain.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <egretmount/core/names.h>
-#include <egretmount/routing/choice.h>
+#include <egretmount/routing/dispatcher.h>
 
 namespace egretmount::routing {
 
@@ -21,6 +21,12 @@
 /// @complexity Constant. @sa chooseTarget
 Obstacle obstacleFor(const TargetView &view, const Request &request, Milliseconds now);
 
+/// @brief The target that a request would be given now, lanes and waiting requests apart.
+/// @return Nothing if no target has room.
+/// @complexity Linear in the number of targets.
+std::optional<TargetId> likelyTarget(const DispatchState &state, const Request &request,
+                                     Milliseconds now);
+
 /// @brief A sentence for the operator, without its full stop.
 std::string describe(Obstacle obstacle);
 
