Share credits and leases between instances over RPC

The dispatcher still spent each target's whole capacity, as the credit service had no escrow behind it. The service now keeps the escrow, polls targets that send no reports, lends and borrows with requestCredit and returnCredit, and keeps one lease for each cold target with requestLease.

--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include "config_service.h"
+#include "credit_service.h"
 #include "http/headers.h"
 #include "peer_service.h"
 #include "relay.h"
@@ -165,8 +166,10 @@
         m_registry.find<ConfigService>().document();
     const bool isDraining =
         m_loop.call([this] { return m_registry.find<PeerService>().isDraining(); });
+    const bool isSettled =
+        m_loop.call([this] { return m_registry.find<CreditService>().isSettled(); });
     Poco::JSON::Object answer;
-    const bool isReady = document && !isDraining;
+    const bool isReady = document && !isDraining && isSettled;
     answer.set("ready", isReady);
     answer.set("config_version", document ? document->version : 0);
     exchange.send(isReady ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
--- a/apps/entry/credit_service.cpp
+++ b/apps/entry/credit_service.cpp
@@ -1,52 +1,254 @@
 #include "credit_service.h"
 
+#include <algorithm>
+
+#include <glog/logging.h>
+
 #include "config_service.h"
+#include "dispatch_service.h"
+#include "peer_service.h"
 
 namespace egretmount::entry {
 
-CreditService::CreditService(kernel::Loop &, kernel::Registry &registry, const EntrySettings &)
-    : m_registry(registry)
-{ }
+using namespace literals;
+
+namespace {
+
+constexpr Milliseconds sweepInterval = 50_ms;
+constexpr Milliseconds pollInterval = 400_ms;
+constexpr Milliseconds refusalPause = 20_ms;
+constexpr Milliseconds longestSettling = 5'000_ms;
+constexpr Milliseconds slack = 100_ms;
+
+credit::EscrowSettings escrowSettings(const EntrySettings &settings)
+{
+    credit::EscrowSettings escrow;
+    escrow.listLag = settings.listLag;
+    escrow.reportLag = settings.reportLag;
+    escrow.longestDeadline = settings.maxDeadline;
+    escrow.holdOff =
+        escrow.listLag + escrow.pauseBound + escrow.grantUse + escrow.reportLag + slack;
+    return escrow;
+}
+
+// True once the guard of a share has opened, or nothing is guarded.
+bool isOpen(const credit::Account &account, Milliseconds now)
+{
+    return account.takeover.hasSample || now >= account.takeover.endsAt
+           || credit::fitsInto(account.share, account.kept);
+}
+
+} // namespace
+
+CreditService::CreditService(kernel::Loop &loop, kernel::Registry &registry,
+                             const EntrySettings &settings)
+    : m_loop(loop)
+    , m_registry(registry)
+    , m_poller(loop,
+               [this](const TargetId &target, const routing::LoadReport &report, Milliseconds) {
+                   m_registry.find<DispatchService>().noteReport(target, report);
+               })
+{
+    m_escrow.settings = escrowSettings(settings);
+    m_warmthSettings.reportLag = settings.reportLag;
+}
 
 void CreditService::start()
 {
-    m_registry.find<ConfigService>().onDocument([this](const config::FleetDocument &document) {
-        m_shares.clear();
-        for (const config::Target &target : document.targets)
-            m_shares[target.id] = target.capacity;
-        for (const std::function<void()> &listener : m_onChange)
-            listener();
-    });
+    m_startedAt = monotonicNow();
+    m_escrow.self = m_registry.find<PeerService>().self().run;
+    m_escrow.lastTick = m_startedAt;
+    m_leases.self = m_escrow.self;
+    m_leases.startedAt = m_startedAt;
+    ConfigService &config = m_registry.find<ConfigService>();
+    config.onDocument([this](const config::FleetDocument &document) { takeDocument(document); });
+    config.onList([this](const membership::InstanceList &list) { takeList(list); });
+    m_loop.every(sweepInterval, [this] { sweep(); });
+}
+
+void CreditService::stop()
+{
+    m_poller.stop();
+}
+
+bool CreditService::isSettled() const
+{
+    const Milliseconds now = monotonicNow();
+    if (now >= m_startedAt + longestSettling)
+        return true;
+    if (!m_roster || m_targets.empty())
+        return false;
+    const auto isReady = [this, now](const std::pair<const TargetId, credit::Account> &entry) {
+        const credit::Account &account = entry.second;
+        if (account.isCold)
+            return !credit::leaseHolder(m_leases, entry.first, now).isEmpty();
+        return isOpen(account, now);
+    };
+    return std::all_of(m_escrow.accounts.begin(), m_escrow.accounts.end(), isReady);
 }
 
 config::Capacity CreditService::share(const TargetId &target) const
 {
-    const auto found = m_shares.find(target);
-    return found == m_shares.end() ? config::Capacity() : found->second;
+    return credit::spendable(m_escrow, target, monotonicNow());
+}
+
+bool CreditService::isCold(const TargetId &target) const
+{
+    const credit::Account *account = credit::findAccount(m_escrow, target);
+    return !account || account->isCold;
+}
+
+void CreditService::take(const TargetId &target, const Request &request)
+{
+    // A request that has borrowed is in flight already.
+    credit::take(m_escrow, target, request, monotonicNow());
 }
 
-bool CreditService::isCold(const TargetId &) const
+void CreditService::release(const RequestId &request, Ending ending)
 {
-    return false;
+    const auto flight = m_escrow.flights.find(request);
+    if (flight == m_escrow.flights.end())
+        return;
+    const TargetId target = flight->second.target;
+    const bool isCertain = ending == Ending::Certain;
+    sendReturns(target, credit::release(m_escrow, request, isCertain, monotonicNow()));
 }
 
-void CreditService::take(const TargetId &, const Request &) { }
+void CreditService::noteReport(const TargetId &target, const TargetLoad &load, Milliseconds now)
+{
+    if (m_addresses.count(target) == 0)
+        return;
+    credit::Warmth &warmth = m_warmth[target];
+    const Milliseconds lastReport = warmth.lastReport;
+    if (credit::noteWarmth(warmth, load.bootId, load.isWarm, now)) {
+        LOG(INFO) << "credit: a target has restarted target=" << target.value;
+        credit::setCold(m_escrow, target, true, now);
+        credit::noteRestart(m_escrow, target, lastReport - m_escrow.settings.reportLag);
+    }
+    setWarmth(target, now);
+    credit::noteUsed(m_escrow, target, load.used, now);
+}
+
+void CreditService::noteFirstToken(const TargetId &target, TokenCount promptTokens,
+                                   Milliseconds took)
+{
+    const Milliseconds now = monotonicNow();
+    if (credit::noteFirstTokenTime(m_warmth[target], m_warmthSettings, promptTokens, took, now)) {
+        LOG(WARNING) << "credit: first tokens are late, the target counts as cold target="
+                     << target.value;
+        setWarmth(target, now);
+    }
+}
+
+void CreditService::takeDocument(const config::FleetDocument &document)
+{
+    m_targets = document.targets;
+    m_addresses.clear();
+    for (const config::Target &target : m_targets)
+        m_addresses[target.id] = target.address;
+    refreshTargets();
+}
+
+void CreditService::takeList(const membership::InstanceList &list)
+{
+    std::vector<InstanceId> listed;
+    for (const membership::ListedInstance &instance : list)
+        listed.push_back(instance.id);
+    m_roster = credit::Roster(listed);
+    refreshTargets();
+}
+
+void CreditService::refreshTargets()
+{
+    if (!m_roster)
+        return;
+    const Milliseconds now = monotonicNow();
+    std::vector<TargetId> ids;
+    ids.reserve(m_targets.size());
+    for (const config::Target &target : m_targets)
+        ids.push_back(target.id);
+    credit::setTargets(m_escrow, m_targets, *m_roster, now);
+    credit::setLeaseRoster(m_leases, ids, *m_roster, now);
+    pollQuietTargets(now);
+}
 
-void CreditService::release(const RequestId &, Ending) { }
+void CreditService::sweep()
+{
+    const Milliseconds now = monotonicNow();
+    credit::tick(m_escrow, now);
+    pollQuietTargets(now);
+    keepLeases(now);
+    notifyIfGained();
+}
 
-bool CreditService::mayBorrow(const TargetId &, const Request &) const
+void CreditService::notifyIfGained()
 {
-    return false;
+    const Milliseconds now = monotonicNow();
+    config::Capacity sum;
+    for (const std::pair<const TargetId, credit::Account> &entry : m_escrow.accounts)
+        sum = sum + credit::room(m_escrow, entry.second, now);
+    const bool hasGained = !credit::fitsInto(sum, m_lastRoom);
+    m_lastRoom = sum;
+    if (!hasGained)
+        return;
+    for (const std::function<void()> &listener : m_onChange)
+        listener();
 }
 
-void CreditService::borrow(const TargetId &, const Request &,
-                           const std::function<void(bool)> &granted)
+void CreditService::pollQuietTargets(Milliseconds now)
 {
-    granted(false);
+    for (const std::pair<const TargetId, credit::Account> &entry : m_escrow.accounts) {
+        const std::vector<InstanceId> &holders = entry.second.holders;
+        const bool isHolder =
+            std::find(holders.begin(), holders.end(), m_escrow.self.instance) != holders.end();
+        const credit::Warmth &warmth = m_warmth[entry.first];
+        if (isHolder && (!warmth.bootId || now - warmth.lastReport >= pollInterval))
+            m_poller.poll(entry.first, m_addresses[entry.first]);
+    }
 }
 
-void CreditService::noteReport(const TargetId &, const TargetLoad &, Milliseconds) { }
+void CreditService::setWarmth(const TargetId &target, Milliseconds now)
+{
+    const credit::Account *account = credit::findAccount(m_escrow, target);
+    const bool isCold = !m_warmth[target].isWarm;
+    if (!account || account->isCold == isCold)
+        return;
+    LOG(INFO) << "credit: target=" << target.value << (isCold ? " is cold" : " is warm");
+    credit::setCold(m_escrow, target, isCold, now);
+    if (!isCold)
+        giveUpLease(target, now);
+}
 
-void CreditService::noteFirstToken(const TargetId &, TokenCount, Milliseconds) { }
+bool CreditService::isUsablePeer(const InstanceId &id) const
+{
+    const membership::MembershipState &members = m_registry.find<PeerService>().membership();
+    return id != m_escrow.self.instance && !membership::isSuspected(members, id, monotonicNow());
+}
+
+bool CreditService::mayBorrow(const TargetId &target, const Request &request) const
+{
+    const credit::Account *account = credit::findAccount(m_escrow, target);
+    if (!account)
+        return false;
+    const auto refused = m_refusedUntil.find(target);
+    if (refused != m_refusedUntil.end() && monotonicNow() < refused->second)
+        return false;
+    const config::Capacity whole = account->isCold ? account->coldCapacity : account->capacity;
+    return credit::fitsInto(credit::needOf(*account, request), whole)
+           && !lendersFor(target, request).empty();
+}
+
+void CreditService::borrow(const TargetId &target, const Request &request,
+                           std::function<void(bool)> granted)
+{
+    if (m_waiting.count(request.id) > 0)
+        return granted(false);
+    m_waiting[request.id] = std::move(granted);
+    const credit::GatherStep step = credit::beginGathering(
+        m_escrow, target, request, lendersFor(target, request), monotonicNow());
+    if (step.state == credit::GatherState::Failed)
+        m_refusedUntil[target] = monotonicNow() + refusalPause;
+    follow(step);
+}
 
 } // namespace egretmount::entry
--- a/apps/entry/credit_service.h
+++ b/apps/entry/credit_service.h
@@ -2,14 +2,21 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include <egretmount/config/document.h>
 #include <egretmount/core/request.h>
+#include <egretmount/credit/lease.h>
+#include <egretmount/credit/lending.h>
+#include <egretmount/credit/warmth.h>
+#include <egretmount/membership/instance_list.h>
 
 #include "entry_settings.h"
 #include "kernel/loop.h"
 #include "kernel/service.h"
+#include "load_poller.h"
+#include "rpc/peer.capnp.h"
 
 namespace egretmount::entry {
 
@@ -37,6 +44,10 @@
 
     std::string_view name() const override { return serviceName; }
     void start() override;
+    void stop() override;
+
+    /// @brief True once the hold-off after the start has passed and what can be spent is known.
+    bool isSettled() const;
 
     /// @brief What this instance may have in flight at a target, borrowed capacity included.
     config::Capacity share(const TargetId &target) const;
@@ -56,8 +67,7 @@
     /// @brief Borrows what the own share lacks for one request. `granted` is called once, later or
     ///        at once; after `granted(true)` the share has room for the request, which the caller
     ///        must `take` in the same call.
-    void borrow(const TargetId &target, const Request &request,
-                const std::function<void(bool)> &granted);
+    void borrow(const TargetId &target, const Request &request, std::function<void(bool)> granted);
 
     /// @brief Takes in a target's report.
     void noteReport(const TargetId &target, const TargetLoad &load, Milliseconds now);
@@ -65,16 +75,55 @@
     /// @brief Takes in how long a target needed for a first token.
     void noteFirstToken(const TargetId &target, TokenCount promptTokens, Milliseconds took);
 
-    /// @brief Adds a listener that is called whenever a share may have changed.
+    /// @brief Adds a listener that is called when this instance may spend more than before.
     void onShareChanged(std::function<void()> listener)
     {
         m_onChange.push_back(std::move(listener));
     }
 
+    /// @brief Answers peers. `caller` is the proven identity of the connection.
+    void answerCredit(const InstanceRun &caller, wire::CreditRequest::Reader request,
+                      wire::CreditGrant::Builder grant);
+    void answerReturn(const InstanceRun &caller, wire::CreditReturn::Reader done);
+    void answerLease(const InstanceRun &caller, wire::LeaseRequest::Reader request,
+                     wire::LeaseReply::Builder reply);
+
 private:
+    void takeDocument(const config::FleetDocument &document);
+    void takeList(const membership::InstanceList &list);
+    void refreshTargets();
+    void sweep();
+    void notifyIfGained();
+    void pollQuietTargets(Milliseconds now);
+    void setWarmth(const TargetId &target, Milliseconds now);
+    bool isUsablePeer(const InstanceId &id) const;
+
+    std::vector<InstanceId> lendersFor(const TargetId &target, const Request &request) const;
+    void follow(const credit::GatherStep &step);
+    void ask(const InstanceId &lender, const credit::CreditRequest &request);
+    void sendReturns(const TargetId &target, const std::vector<credit::Borrowed> &loans);
+
+    void keepLeases(Milliseconds now);
+    void keepLease(const TargetId &target, const credit::Account &account, Milliseconds now);
+    bool isFirstCandidate(const TargetId &target) const;
+    void giveUpLease(const TargetId &target, Milliseconds now);
+    void sendLeaseRequest(const InstanceId &granter, const credit::LeaseRequest &request);
+
+    kernel::Loop &m_loop;
     kernel::Registry &m_registry;
-    std::map<TargetId, config::Capacity> m_shares;
+    credit::EscrowState m_escrow;
+    credit::LeaseState m_leases;
+    credit::WarmthSettings m_warmthSettings;
+    std::map<TargetId, credit::Warmth> m_warmth;
+    std::map<TargetId, std::string> m_addresses;
+    std::map<TargetId, Milliseconds> m_refusedUntil; // others had no room
+    std::vector<config::Target> m_targets;
+    std::optional<credit::Roster> m_roster; // set by the first list
+    std::map<RequestId, std::function<void(bool)>> m_waiting; // requests that gather
     std::vector<std::function<void()>> m_onChange;
+    config::Capacity m_lastRoom;
+    Milliseconds m_startedAt;
+    LoadPoller m_poller;
 };
 
 } // namespace egretmount::entry
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -51,6 +51,14 @@
               { "drainSlackMs", ValueKind::Integer, "ms", "1000", 0, highestMilliseconds, "", false,
                 "Time added to locateMaxAgeMs before a leaving instance closes." },
           } },
+        { "credit",
+          false,
+          {
+              { "listLagMs", ValueKind::Integer, "ms", "700", 1, highestMilliseconds, "", false,
+                "Longest time until a new instance list is known at every instance." },
+              { "reportLagMs", ValueKind::Integer, "ms", "400", 1, highestMilliseconds, "", false,
+                "Greatest age of a target's load report when it arrives." },
+          } },
     };
 }
 
@@ -79,6 +87,9 @@
     read.maxDeadline = Milliseconds(limits.integer("maxDeadlineMs"));
     read.locateMaxAge = Milliseconds(limits.integer("locateMaxAgeMs"));
     read.drainSlack = Milliseconds(limits.integer("drainSlackMs"));
+    const config::SectionReader credit = settings.section("credit");
+    read.listLag = Milliseconds(credit.integer("listLagMs"));
+    read.reportLag = Milliseconds(credit.integer("reportLagMs"));
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -26,6 +26,8 @@
     Milliseconds maxDeadline;
     Milliseconds locateMaxAge;
     Milliseconds drainSlack;
+    Milliseconds listLag; ///< Two instances have one list within this time.
+    Milliseconds reportLag; ///< Greatest age of a target's report when it arrives.
 };
 
 /// @brief Specification of the settings.
--- a/apps/entry/peer_server.cpp
+++ b/apps/entry/peer_server.cpp
@@ -3,6 +3,7 @@
 #include <kj/debug.h>
 
 #include "config_service.h"
+#include "credit_service.h"
 #include "peer_service.h"
 
 namespace egretmount::entry {
@@ -37,6 +38,26 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> requestCredit(RequestCreditContext context) override
+    {
+        m_registry.find<CreditService>().answerCredit(
+            m_caller.run, context.getParams().getRequest(), context.getResults().initGrant());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> returnCredit(ReturnCreditContext context) override
+    {
+        m_registry.find<CreditService>().answerReturn(m_caller.run, context.getParams().getDone());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> requestLease(RequestLeaseContext context) override
+    {
+        m_registry.find<CreditService>().answerLease(m_caller.run, context.getParams().getRequest(),
+                                                     context.getResults().initReply());
+        return kj::READY_NOW;
+    }
+
 private:
     kernel::Registry &m_registry;
     rpc::PeerIdentity m_caller;
--- a/include/egretmount/credit/capacity.h
+++ b/include/egretmount/credit/capacity.h
@@ -4,9 +4,7 @@
 
 #include <egretmount/config/document.h>
 
-namespace egretmount::credit {
-
-using config::Capacity;
+namespace egretmount::config {
 
 /// @brief Arithmetic on both currencies at once; all of it is constant in time.
 constexpr Capacity operator+(const Capacity &a, const Capacity &b)
@@ -19,6 +17,13 @@
     return { a.tokens - b.tokens, a.slots - b.slots };
 }
 
+} // namespace egretmount::config
+
+namespace egretmount::credit {
+
+using config::Capacity;
+
+/// @brief The smaller amount of each currency.
 constexpr Capacity least(const Capacity &a, const Capacity &b)
 {
     return { std::min(a.tokens, b.tokens), std::min(a.slots, b.slots) };
--- a/include/egretmount/credit/escrow.h
+++ b/include/egretmount/credit/escrow.h
@@ -63,7 +63,8 @@
     Capacity share; ///< By the list in force.
     Capacity kept; ///< The part of `share` that needs no takeover.
     Takeover takeover; ///< Guards `share - kept`, or the cold capacity while the lease is held.
-    bool isCold = true;
+    bool isCold = true; ///< Also while nothing is known.
+    bool isReported = false; ///< The target has reported to this instance.
     Milliseconds leaseUntil; ///< The single holder's lease on a cold target; past: not held.
     std::optional<PendingReport> report;
     Capacity ownInUse; ///< Own parts of flights and of work whose end is unknown.
@@ -157,6 +158,7 @@
 Capacity spendable(const EscrowState &state, const TargetId &target, Milliseconds now);
 
 /// @brief What a request needs of a target.
+/// @complexity Constant.
 Capacity needOf(const Account &account, const Request &request);
 
 /// @brief Puts a request in flight out of the own share. @return False if there is no room.
--- a/include/egretmount/credit/lending.h
+++ b/include/egretmount/credit/lending.h
@@ -12,7 +12,7 @@
     TargetId target;
     Capacity wanted;
     Milliseconds hold; ///< Until the capacity is surely unused, counted from the request's receipt.
-    bool wantsCold = false; ///< The borrower takes the target to be cold.
+    bool wantsCold = false; ///< The target has told the borrower that it is cold.
 };
 
 /// @brief Answers the request with the same number; less than wanted may be granted.
--- a/src/credit/escrow.cpp
+++ b/src/credit/escrow.cpp
@@ -172,7 +172,10 @@
 void noteUsed(EscrowState &state, const TargetId &target, const Capacity &used, Milliseconds now)
 {
     Account *account = findAccount(state, target);
-    if (!account || !needsReports(*account, now))
+    if (!account)
+        return;
+    account->isReported = true;
+    if (!needsReports(*account, now))
         return;
     evaluateReport(state, target, *account, now);
     if (!account->report)
--- a/src/credit/lending.cpp
+++ b/src/credit/lending.cpp
@@ -78,7 +78,8 @@
         return { request.number, !isNothing(amount), amount };
     }
     Account *account = findAccount(state, request.target);
-    if (!account || account->isCold != request.wantsCold)
+    // A borrower that knows the target to be cold knows more than a lender that takes it for warm.
+    if (!account || (request.wantsCold && !account->isCold))
         return { request.number, false, {} };
     const Capacity amount = orZero(least(request.wanted, room(state, *account, now)));
     if (isNothing(amount))
--- a/tests/parts/credit_escrow_test.cpp
+++ b/tests/parts/credit_escrow_test.cpp
@@ -4,7 +4,6 @@
 
 using namespace egretmount;
 using namespace egretmount::tests;
-using credit::operator+;
 
 namespace {
 
--- a/tests/parts/credit_network.cpp
+++ b/tests/parts/credit_network.cpp
@@ -42,6 +42,7 @@
     , m_nodes(nodeCount)
 {
     std::vector<InstanceId> all;
+    all.reserve(nodeCount);
     for (int i = 0; i < nodeCount; ++i)
         all.push_back(nameOf(i));
     m_lists.push_back(all);
