--- a/apps/load/report.cpp
+++ b/apps/load/report.cpp
@@ -12,7 +12,7 @@
     if (millis < 0)
         out << std::setw(10) << '-';
     else
-        out << std::setw(10) << std::fixed << std::setprecision(1) << millis;
+        out << std::setw(10) << std::fixed << std::setprecision(2) << millis;
 }
 
 void writePercentiles(std::ostream &out, const Percentiles &percentiles)
