--- a/apps/entry/call_relay.cpp
+++ b/apps/entry/call_relay.cpp
@@ -26,7 +26,7 @@
                                     RequestWatch &watch, Verdict &verdict)
 {
     DispatchService &dispatch = registry.find<DispatchService>();
-    const Result<Assignment> assignment = requestTarget(dispatch, request);
+    const Result<Assignment> assignment = requestTarget(dispatch, request, &watch);
     if (!assignment) {
         Error error = assignment.error();
         error.verdict = verdict;
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -1,6 +1,6 @@
 #include "dispatch_service.h"
 
-#include <algorithm>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -12,9 +12,24 @@
 
 namespace {
 
-constexpr Milliseconds failurePause = 1'000_ms;
-constexpr Milliseconds leastRetryAfter = 200_ms;
-constexpr Milliseconds mostRetryAfter = 1'200_ms;
+constexpr Milliseconds tickInterval = 10_ms;
+
+std::vector<routing::TargetView> viewsOf(const config::FleetDocument &document)
+{
+    std::vector<routing::TargetView> views;
+    for (const config::Target &target : document.targets) {
+        routing::TargetView view;
+        view.id = target.id;
+        view.service = target.service;
+        view.zone = target.zone;
+        view.address = target.address;
+        view.acceptsNewWork = config::acceptsNewWork(document, target);
+        view.capacity = target.capacity;
+        view.spendable = config::Capacity();
+        views.push_back(std::move(view));
+    }
+    return views;
+}
 
 } // namespace
 
@@ -22,14 +37,25 @@
                                  const EntrySettings &settings)
     : m_loop(loop)
     , m_registry(registry)
-    , m_zone(settings.zone)
-    , m_random(static_cast<std::uint64_t>(monotonicNow().count()))
-{ }
+{
+    m_state.policy = settings.lanePolicy;
+    m_state.ownZone = settings.zone;
+    m_state.random =
+        Random(static_cast<std::uint64_t>(monotonicNow().count()) ^ stableHash(settings.id.value));
+}
 
 void DispatchService::start()
 {
-    m_registry.find<ConfigService>().onDocument(
-        [this](const config::FleetDocument &document) { takeDocument(document); });
+    ConfigService &config = m_registry.find<ConfigService>();
+    config.onDocument(
+        [this, &config](const config::FleetDocument &) { takeDocument(config.document()); });
+    m_credit = &m_registry.find<CreditService>();
+    m_credit->onShareChanged([this] { refreshShares(); });
+    m_loop.every(tickInterval, [this] {
+        refreshShares();
+        carryOut(routing::tick(m_state, monotonicNow()));
+        borrowForBlocked();
+    });
 }
 
 void DispatchService::submit(const Request &request, Decided decided)
@@ -37,95 +63,152 @@
     m_loop.post([this, request, decided = std::move(decided)] { decide(request, decided); });
 }
 
+void DispatchService::withdraw(const RequestId &id)
+{
+    m_loop.post([this, id] {
+        if (m_undecided.erase(id) > 0)
+            routing::withdraw(m_state, id);
+    });
+}
+
 void DispatchService::noteFirstToken(const RequestId &id)
 {
     m_loop.post([this, id] {
-        const auto held = m_held.find(id);
-        if (held == m_held.end() || held->second.hasFirstToken)
-            return;
-        held->second.hasFirstToken = true;
-        routing::TargetView *view = find(held->second.target);
-        if (view)
-            view->waitingPromptTokens -= held->second.request.promptTokens;
+        const auto running = m_state.running.find(id);
+        if (running != m_state.running.end() && !running->second.hasFirstToken)
+            m_credit->noteFirstToken(running->second.target, running->second.request.promptTokens,
+                                     monotonicNow() - running->second.sentAt);
+        carryOut(routing::noteFirstToken(m_state, id, monotonicNow()));
     });
 }
 
 void DispatchService::noteReport(const TargetId &target, const routing::LoadReport &report)
 {
     m_loop.post([this, target, report] {
-        routing::TargetView *view = find(target);
-        if (view)
-            view->report = report;
+        m_credit->noteReport(
+            target, { report.bootId, { report.usedTokens, report.usedSlots }, report.isWarm },
+            monotonicNow());
+        carryOut(routing::noteReport(m_state, target, report, monotonicNow()));
     });
 }
 
-void DispatchService::finish(const RequestId &id, Outcome outcome)
-{
-    m_loop.post([this, id, outcome] {
-        const auto held = m_held.find(id);
-        if (held == m_held.end())
-            return;
-        routing::TargetView *view = find(held->second.target);
-        if (view) {
-            const Request &request = held->second.request;
-            view->inFlight.tokens -= request.memoryTokens();
-            --view->inFlight.slots;
-            if (!held->second.hasFirstToken)
-                view->waitingPromptTokens -= request.promptTokens;
-            if (outcome == Outcome::Failed)
-                view->failedUntil = monotonicNow() + failurePause;
-        }
-        m_held.erase(held);
+void DispatchService::finish(const RequestId &id, Outcome outcome, TokenCount generated)
+{
+    m_loop.post([this, id, outcome, generated] {
+        const bool isHeld = m_state.running.count(id) > 0;
+        // A target ends a request at its deadline at the latest; until then it may still hold it.
+        if (isHeld)
+            m_credit->release(id,
+                              outcome == Outcome::Completed ? Ending::Certain : Ending::Unknown);
+        refreshShares();
+        carryOut(routing::finish(m_state, id, outcome, generated, monotonicNow()));
     });
 }
 
-void DispatchService::takeDocument(const config::FleetDocument &document)
+bool DispatchService::takeRetry()
 {
-    std::vector<routing::TargetView> views;
-    for (const config::Target &target : document.targets) {
-        routing::TargetView view;
-        const routing::TargetView *known = find(target.id);
-        if (known)
-            view = *known;
-        view.id = target.id;
-        view.service = target.service;
-        view.zone = target.zone;
-        view.address = target.address;
-        view.acceptsNewWork = config::acceptsNewWork(document, target);
-        view.spendable = target.capacity;
-        views.push_back(view);
+    return m_loop.call([this] { return admission::takeRetry(m_retries); });
+}
+
+void DispatchService::takeDocument(const std::shared_ptr<const config::FleetDocument> &document)
+{
+    m_document = document;
+    carryOut(routing::setTargets(m_state, viewsOf(*document), monotonicNow()));
+    refreshShares();
+}
+
+void DispatchService::refreshShares()
+{
+    for (const config::Target &target :
+         m_document ? m_document->targets : std::vector<config::Target>()) {
+        const config::Capacity share = m_credit->share(target.id);
+        const routing::TargetView *view = routing::findView(m_state, target.id);
+        const bool isSame =
+            view && view->spendable.tokens == share.tokens && view->spendable.slots == share.slots;
+        if (view && !isSame)
+            carryOut(routing::setSpendable(m_state, target.id, share, monotonicNow()));
+    }
+}
+
+void DispatchService::borrowForBlocked()
+{
+    for (const routing::BlockedRequest &blocked :
+         routing::blockedRequests(m_state, monotonicNow())) {
+        if (m_borrowing.count(blocked.request.id) == 0)
+            borrow(blocked);
+    }
+}
+
+void DispatchService::borrow(const routing::BlockedRequest &blocked)
+{
+    const Request &request = blocked.request;
+    for (const TargetId &target : blocked.candidates) {
+        if (!m_credit->mayBorrow(target, request))
+            continue;
+        m_borrowing.insert(request.id);
+        m_credit->borrow(target, request, [this, target, id = request.id](bool isGranted) {
+            m_borrowing.erase(id);
+            if (!isGranted)
+                return;
+            const routing::Decisions decisions =
+                routing::assignTo(m_state, id, target, monotonicNow());
+            // The request was answered meanwhile: what was borrowed for it goes back unused.
+            if (decisions.assigned.empty())
+                m_credit->release(id, Ending::Certain);
+            carryOut(decisions);
+        });
+        return;
     }
-    m_targets = std::move(views);
 }
 
 void DispatchService::decide(const Request &request, const Decided &decided)
 {
-    const Milliseconds now = monotonicNow();
-    const std::shared_ptr<const config::FleetDocument> document =
-        m_registry.find<ConfigService>().document();
-    const config::Service *service =
-        document ? config::findService(*document, request.service) : nullptr;
-    if (!service)
+    if (!m_document || !config::findService(*m_document, request.service))
         return decided(fail(ErrorId::UnknownService, Verdict::NotRun, "no such service"));
-    const routing::TargetView *choice = routing::chooseTarget(m_targets, request, m_zone, now);
-    if (!choice) {
-        return decided(fail(ErrorId::Overloaded, Verdict::NotRun, "no target has room",
-                            m_random.between(leastRetryAfter, mostRetryAfter)));
+    const config::Team *team = config::findTeam(*m_document, request.team);
+    admission::noteRequest(m_retries);
+    if (!m_undecided.emplace(request.id, decided).second) {
+        return decided(fail(ErrorId::Overloaded, Verdict::NotRun,
+                            "a request with this id is being served",
+                            admission::retryAfter({}, m_state.random)));
     }
-    routing::TargetView *view = find(choice->id);
-    view->inFlight.tokens += request.memoryTokens();
-    ++view->inFlight.slots;
-    view->waitingPromptTokens += request.promptTokens;
-    m_held[request.id] = { request, view->id, false };
-    decided(Assignment { view->id, view->address, service->silenceTimeout });
+    const double weight = team ? static_cast<double>(team->weight) : 1.0;
+    carryOut(routing::submit(m_state, request, weight, monotonicNow()));
+}
+
+void DispatchService::carryOut(const routing::Decisions &decisions)
+{
+    for (const routing::Assigned &assigned : decisions.assigned)
+        take(assigned);
+    for (const routing::Assigned &assigned : decisions.assigned)
+        answer(assigned.request, makeAssignment(assigned));
+    for (const routing::Refused &refused : decisions.refused)
+        answer(refused.request, tl::make_unexpected(refused.error));
+}
+
+void DispatchService::take(const routing::Assigned &assigned)
+{
+    const auto running = m_state.running.find(assigned.request);
+    if (running != m_state.running.end())
+        m_credit->take(assigned.target, running->second.request);
+}
+
+void DispatchService::answer(const RequestId &id, Result<Assignment> result)
+{
+    const auto found = m_undecided.find(id);
+    if (found == m_undecided.end())
+        return;
+    const Decided decided = std::move(found->second);
+    m_undecided.erase(found);
+    decided(std::move(result));
 }
 
-routing::TargetView *DispatchService::find(const TargetId &id)
+Result<Assignment> DispatchService::makeAssignment(const routing::Assigned &assigned)
 {
-    const auto found =
-        std::find_if(m_targets.begin(), m_targets.end(),
-                     [&id](const routing::TargetView &view) { return view.id == id; });
-    return found == m_targets.end() ? nullptr : &*found;
+    const routing::TargetView *view = routing::findView(m_state, assigned.target);
+    const config::Service *service = config::findService(*m_document, view->service);
+    const Milliseconds silence = service ? service->silenceTimeout : Milliseconds();
+    return Assignment { view->id, view->address, silence, assigned.enginePriority };
 }
 
 } // namespace egretmount::entry
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -59,6 +59,12 @@
               { "witness", ValueKind::Choice, "", "yes", 0, 0, "yes|no", false,
                 "Whether a peer must permit such a call before it is sent." },
           } },
+        { "policy",
+          false,
+          {
+              { "lanes", ValueKind::Choice, "", "elastic", 0, 0, "elastic|static|priority|fifo",
+                false, "How short and long prompts share the targets of a service." },
+          } },
     };
 }
 
@@ -90,6 +96,8 @@
     const config::SectionReader tickets = settings.section("tickets");
     read.ticketLifetime = Milliseconds(tickets.integer("lifetimeMs"));
     read.usesWitness = tickets.text("witness") == "yes";
+    read.lanePolicy = valueNamed<routing::LanePolicy>(settings.section("policy").text("lanes"))
+                          .value_or(routing::LanePolicy::Elastic);
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <egretmount/config/schema.h>
 #include <egretmount/core/clock.h>
 #include <egretmount/core/ids.h>
+#include <egretmount/routing/lane_policy.h>
 
 #include "kernel/settings.h"
 
@@ -28,6 +29,7 @@
     Milliseconds drainSlack;
     Milliseconds ticketLifetime;
     bool usesWitness = true;
+    routing::LanePolicy lanePolicy = routing::LanePolicy::Elastic;
 };
 
 /// @brief Specification of the settings.
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -6,11 +6,13 @@
 
 #include "caller_service.h"
 #include "config_service.h"
+#include "credit_service.h"
 #include "dispatch_service.h"
 #include "entry_settings.h"
 #include "kernel/daemon.h"
 #include "peer_service.h"
 #include "request_watch.h"
+#include "status_service.h"
 #include "ticket_service.h"
 
 namespace {
@@ -42,9 +44,11 @@
     registry.add(std::make_unique<entry::ConfigService>(loop, own));
     entry::PeerService &peers =
         registry.add(std::make_unique<entry::PeerService>(loop, registry, own));
+    registry.add(std::make_unique<entry::CreditService>(loop, registry, own));
     registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
     registry.add(std::make_unique<entry::WatchService>(loop));
     registry.add(std::make_unique<entry::TicketService>(loop, registry, own));
+    registry.add(std::make_unique<entry::StatusService>(loop, registry, own));
     entry::CallerService &callers =
         registry.add(std::make_unique<entry::CallerService>(loop, registry, own));
 
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -73,7 +73,7 @@
 {
     Result<void> result = attempt();
     while (!result && m_attempts < maxAttempts && m_watch->interruption() == Interruption::None
-           && result.error().id == ErrorId::TargetFailed) {
+           && result.error().id == ErrorId::TargetFailed && m_dispatch.takeRetry()) {
         LOG(INFO) << "callers: trying another target request=" << m_request.id.value
                   << " offset=" << m_reassembly.nextOffset;
         result = attempt();
@@ -85,7 +85,7 @@
 Result<void> CompletionRelay::attempt()
 {
     ++m_attempts;
-    const Result<Assignment> assignment = requestTarget(m_dispatch, m_request);
+    const Result<Assignment> assignment = requestTarget(m_dispatch, m_request, m_watch.get());
     if (!assignment) {
         Error error = assignment.error();
         error.verdict = m_verdict;
@@ -97,7 +97,7 @@
     if (isInterrupted)
         cancelAt(assignment->address);
     const Outcome failed = isInterrupted ? Outcome::Cancelled : Outcome::Failed;
-    m_dispatch.finish(m_request.id, result ? Outcome::Completed : failed);
+    m_dispatch.finish(m_request.id, result ? Outcome::Completed : failed, m_reassembly.nextOffset);
     return result;
 }
 
@@ -109,8 +109,10 @@
     Result<void> result;
     try {
         call->connect(connectTimeout, assignment.silenceTimeout);
+        Request prioritized = m_request;
+        prioritized.priority = assignment.enginePriority;
         HTTPRequest request =
-            makeTargetRequest("/v1/completions", m_request, m_registry.find<PeerService>());
+            makeTargetRequest("/v1/completions", prioritized, m_registry.find<PeerService>());
         if (m_reassembly.nextOffset > 0)
             request.set(http::lastEventIdHeader, std::to_string(m_reassembly.nextOffset - 1));
         m_verdict = Verdict::MayHaveRun;
--- a/apps/entry/target_call.cpp
+++ b/apps/entry/target_call.cpp
@@ -1,5 +1,6 @@
 #include "target_call.h"
 
+#include <chrono>
 #include <future>
 #include <memory>
 
@@ -14,6 +15,7 @@
 
 namespace {
 
+constexpr Milliseconds callerCheckInterval = Milliseconds(50);
 constexpr std::size_t readChunkBytes = 64UL * 1024;
 
 std::string ownerText(const PeerService &peers)
@@ -56,7 +58,8 @@
     return http;
 }
 
-Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request)
+Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request,
+                                 const RequestWatch *watch)
 {
     using Decision = std::promise<Result<Assignment>>;
     std::shared_ptr<Decision> promise = std::make_shared<Decision>();
@@ -65,6 +68,19 @@
     dispatch.submit(request, [promise = std::move(promise)](Result<Assignment> result) {
         promise->set_value(std::move(result));
     });
+    const std::chrono::milliseconds interval(callerCheckInterval.count());
+    while (watch && decision.wait_for(interval) != std::future_status::ready) {
+        if (watch->interruption() != Interruption::CallerGone)
+            continue;
+        dispatch.withdraw(request.id);
+        try {
+            if (decision.get())
+                dispatch.finish(request.id, Outcome::Cancelled);
+        } catch (const std::future_error &) {
+            // It was withdrawn in time.
+        }
+        return fail(ErrorId::StreamInterrupted, Verdict::NotRun, "the caller has left");
+    }
     return decision.get();
 }
 
--- a/apps/entry/target_call.h
+++ b/apps/entry/target_call.h
@@ -11,6 +11,7 @@
 #include "dispatch_service.h"
 #include "http/client.h"
 #include "peer_service.h"
+#include "request_watch.h"
 
 namespace egretmount::entry {
 
@@ -31,7 +32,9 @@
                                          const PeerService &peers);
 
 /// @brief Waits for the decision on a target; it always comes, by the deadline at the latest.
-Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request);
+/// @param watch A request whose caller leaves meanwhile is withdrawn. Null: nobody is watched.
+Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request,
+                                 const RequestWatch *watch);
 
 /// @brief The error of a request whose deadline has passed.
 Error deadlineError(Verdict verdict);
