--- a/apps/entry/peer_server.cpp
+++ b/apps/entry/peer_server.cpp
@@ -5,6 +5,7 @@
 #include <egretmount/config/chunks.h>
 
 #include "config_service.h"
+#include "credit_service.h"
 #include "peer_service.h"
 #include "ticket_rpc.h"
 #include "ticket_service.h"
@@ -74,6 +75,26 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> requestCredit(RequestCreditContext context) override
+    {
+        m_registry.find<CreditService>().answerCredit(
+            m_caller.run, context.getParams().getRequest(), context.getResults().initGrant());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> returnCredit(ReturnCreditContext context) override
+    {
+        m_registry.find<CreditService>().answerReturn(m_caller.run, context.getParams().getDone());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> requestLease(RequestLeaseContext context) override
+    {
+        m_registry.find<CreditService>().answerLease(m_caller.run, context.getParams().getRequest(),
+                                                     context.getResults().initReply());
+        return kj::READY_NOW;
+    }
+
 private:
     static void writeUpdate(const config::DocumentUpdate &update,
                             ChangedSectionsResults::Builder results)
--- a/tests/processes/span_test.cpp
+++ b/tests/processes/span_test.cpp
@@ -94,6 +94,7 @@
     {
         std::vector<load::CallerResult> results(2);
         std::vector<std::thread> callers;
+        callers.reserve(results.size());
         for (int i = 0; i < 2; ++i) {
             callers.emplace_back([&, i] {
                 results[static_cast<std::size_t>(i)] = load::complete(
