--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -9,6 +9,7 @@
 #include "call_relay.h"
 #include "config_service.h"
 #include "http/headers.h"
+#include "metrics_service.h"
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
@@ -97,6 +98,7 @@
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
     });
     m_registry.find<StatusService>().addRoutes(m_server);
+    m_registry.find<MetricsService>().addRoutes(m_server);
     m_server.start(m_settings.httpAddress);
     LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
 }
@@ -134,6 +136,7 @@
 void CallerService::complete(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current);
+    const AnswerCount counted(m_registry, exchange, true);
     const Milliseconds arrival = monotonicNow();
     const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
     if (!body)
@@ -154,6 +157,7 @@
 void CallerService::call(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current);
+    const AnswerCount counted(m_registry, exchange, false);
     std::string body;
     const Result<Request> request = makeCallRequest(exchange, body);
     if (!request) {
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "config_service.h"
+#include "metrics_service.h"
 
 namespace egretmount::entry {
 
@@ -88,6 +89,7 @@
         m_credit->noteReport(
             target, { report.bootId, { report.usedTokens, report.usedSlots }, report.isWarm },
             monotonicNow());
+        m_registry.find<MetricsService>().noteWarmth(target, report.isWarm);
         carryOut(routing::noteReport(m_state, target, report, monotonicNow()));
     });
 }
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -57,6 +57,7 @@
     , m_dispatch(registry.find<DispatchService>())
     , m_exchange(exchange)
     , m_request(std::move(request))
+    , m_trace(registry, m_request)
     , m_body(body)
     , m_watch(
           std::make_shared<RequestWatch>(m_request.deadline, http::PeerWatch(exchange.request())))
@@ -78,6 +79,8 @@
                   << " offset=" << m_reassembly.nextOffset;
         result = attempt();
     }
+    const bool isCallerGone = m_watch->interruption() == Interruption::CallerGone;
+    m_trace.finish(m_verdict, result ? nullptr : &result.error(), m_out || isCallerGone);
     if (!result)
         answerError(result.error());
 }
@@ -91,6 +94,7 @@
         error.verdict = m_verdict;
         return tl::make_unexpected(error);
     }
+    m_trace.noteAssigned();
     m_target = assignment->target;
     Result<void> result = relayFrom(*assignment);
     const bool isInterrupted = m_watch->interruption() != Interruption::None;
@@ -164,6 +168,8 @@
         m_exchange.response().set(http::verdictHeader, std::string(nameOf(m_verdict)));
         m_out = &m_exchange.startEvents();
     }
+    if (!chunk.isLast)
+        m_trace.noteToken();
     *m_out << "id: " << chunk.offset << '\n' << chunk.payload << '\n';
     if (chunk.isLast)
         *m_out << "event: verdict\ndata: {\"verdict\":\"ran\"}\n\ndata: [DONE]\n\n";
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -10,6 +10,7 @@
 #include "dispatch_service.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "request_trace.h"
 #include "request_watch.h"
 
 namespace egretmount::entry {
@@ -53,6 +54,7 @@
     DispatchService &m_dispatch;
     http::Exchange &m_exchange;
     Request m_request;
+    RequestTrace m_trace;
     const std::string &m_body;
     std::shared_ptr<RequestWatch> m_watch;
     stream::Reassembly m_reassembly;
