--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -8,11 +8,13 @@
 
 #include "call_relay.h"
 #include "config_service.h"
+#include "credit_service.h"
 #include "http/headers.h"
 #include "metrics_service.h"
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
+#include "span_relay.h"
 #include "status_service.h"
 #include "ticket_service.h"
 
@@ -150,6 +152,8 @@
     request->arrival = arrival;
     request->promptTokens = completion->promptTokens;
     request->maxTokens = completion->maxTokens;
+    if (m_registry.find<DispatchService>().needsSpan(*request))
+        return SpanRelay(m_registry, exchange, *request, *body).run();
     CompletionRelay relay(m_registry, exchange, *request, *body);
     relay.run();
 }
@@ -216,8 +220,10 @@
         m_registry.find<ConfigService>().document();
     const bool isDraining =
         m_loop.call([this] { return m_registry.find<PeerService>().isDraining(); });
+    const bool isSettled =
+        m_loop.call([this] { return m_registry.find<CreditService>().isSettled(); });
     Poco::JSON::Object answer;
-    const bool isReady = document && !isDraining;
+    const bool isReady = document && !isDraining && isSettled;
     answer.set("ready", isReady);
     answer.set("config_version", document ? document->version : 0);
     exchange.send(isReady ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -65,6 +65,14 @@
               { "witness", ValueKind::Choice, "", "yes", 0, 0, "yes|no", false,
                 "Whether a peer must permit such a call before it is sent." },
           } },
+        { "credit",
+          false,
+          {
+              { "listLagMs", ValueKind::Integer, "ms", "700", 1, highestMilliseconds, "", false,
+                "Longest time until a new instance list is known at every instance." },
+              { "reportLagMs", ValueKind::Integer, "ms", "400", 1, highestMilliseconds, "", false,
+                "Greatest age of a target's load report when it arrives." },
+          } },
     };
 }
 
@@ -98,6 +106,9 @@
     const config::SectionReader tickets = settings.section("tickets");
     read.ticketLifetime = Milliseconds(tickets.integer("lifetimeMs"));
     read.usesWitness = tickets.text("witness") == "yes";
+    const config::SectionReader credit = settings.section("credit");
+    read.listLag = Milliseconds(credit.integer("listLagMs"));
+    read.reportLag = Milliseconds(credit.integer("reportLagMs"));
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -30,6 +30,8 @@
     routing::LanePolicy lanePolicy = routing::LanePolicy::Elastic;
     Milliseconds ticketLifetime;
     bool usesWitness = true;
+    Milliseconds listLag; ///< Two instances have one list within this time.
+    Milliseconds reportLag; ///< Greatest age of a target's report when it arrives.
 };
 
 /// @brief Specification of the settings.
--- a/src/routing/span.cpp
+++ b/src/routing/span.cpp
@@ -100,7 +100,7 @@
                                  std::size_t least, Milliseconds now)
 {
     const FreeByZone zones = freeByZone(state, request.service, now);
-    auto best = zones.end();
+    FreeByZone::const_iterator best = zones.end();
     std::size_t bestCount = 0;
     for (auto zone = zones.begin(); zone != zones.end(); ++zone) {
         const std::size_t count = neededTargets(zone->second, request.memoryTokens(), least);
