--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -10,6 +10,7 @@
 #include "config_service.h"
 #include "credit_service.h"
 #include "http/headers.h"
+#include "metrics_service.h"
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
@@ -101,6 +102,7 @@
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
     });
     m_registry.find<StatusService>().addRoutes(m_server);
+    m_registry.find<MetricsService>().addRoutes(m_server);
     m_server.start(m_settings.httpAddress);
     LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
 }
@@ -138,6 +140,7 @@
 void CallerService::complete(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, true);
     const Milliseconds arrival = monotonicNow();
     const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
     if (!body)
@@ -160,6 +163,7 @@
 void CallerService::call(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, false);
     std::string body;
     const Result<Request> request = makeCallRequest(exchange, body);
     if (!request) {
