Measure the lane policies on a model, and mend the rates

Two faults in the running rates made it: first-token times of short prompts behind others counted as prefill speed, up to 2,500 tokens/ms for a target of 400, so that requests herded onto the target with the worst estimate; and a short prompt counted the long one beside it as work before it, although the engine serves it first.

Teams that use no more than their share go first at the engine, and the places of a lane are divided over the teams.

--- a/include/egretmount/admission/lane_queue.h
+++ b/include/egretmount/admission/lane_queue.h
@@ -52,9 +52,10 @@
     LaneOrder order = LaneOrder::FairDeadline;
     std::map<TeamId, TeamQueue> teams;
     std::set<std::pair<double, TeamId>> turns; ///< Teams with waiting requests.
+    std::set<std::pair<double, TeamId>> idle; ///< Other teams above the floor.
     std::unordered_map<RequestId, std::pair<TeamId, QueueKey>> places;
     double floor = 0; ///< Counter of the team served last, before it was charged.
-    double busyWeight = 0; ///< Sum of the weights of the teams in `turns`.
+    double knownWeight = 0; ///< Sum of the weights of `teams`.
     TokenCount queuedTokens = 0;
     std::uint64_t arrivals = 0;
     bool liftsReturning = true; ///< False only in tests, as a mutation.
@@ -70,6 +71,10 @@
 /// @brief The request whose turn it is. @return Null if the lane is empty. @complexity Logarithmic.
 const Request *front(const Lane &lane);
 
+/// @brief True if the team of the first request uses no more than its share.
+/// @pre The lane is not empty.
+bool isFrontWithinShare(const Lane &lane);
+
 /// @brief Takes the first request out and charges its team. @pre The lane is not empty.
 /// @complexity Logarithmic.
 Request popFront(Lane &lane);
@@ -77,12 +82,17 @@
 /// @brief Takes a request out without charging its team. @return False if it is not there.
 bool remove(Lane &lane, const RequestId &id);
 
-/// @brief Corrects the counter of a team by tokens that a request did not use, or used on top.
-void charge(Lane &lane, const TeamId &team, TokenCount tokens);
+/// @brief True if a lane has no place for another request of a team.
+///
+/// The places are divided evenly over the waiting teams once the lane is half full, so that the
+/// requests of one team cannot keep out those of another.
+/// @param most Requests that the lane holds.
+bool isFull(const Lane &lane, const TeamId &team, std::size_t most);
 
 /// @brief Tokens that are served before a new request of a team, at most.
 ///
-/// Fair turns serve a light team soon, so only what the other teams get meanwhile counts.
+/// Fair turns serve a light team soon, so only what the other teams get meanwhile counts. Teams
+/// that were served lately are taken to come back.
 double tokensAhead(const Lane &lane, const Request &request, double weight);
 
 } // namespace egretmount::admission
--- a/include/egretmount/routing/choice.h
+++ b/include/egretmount/routing/choice.h
@@ -32,6 +32,7 @@
     config::Capacity spendable; ///< This instance's share of the target's capacity.
     config::Capacity inFlight; ///< Held by this instance's own requests.
     std::vector<PendingPrompt> pending; ///< Own prompts without a first token so far.
+    TokenCount shortTokens = 0; ///< Memory held by own requests that are not long.
     TokenCount waitingPromptTokens = 0; ///< Sum of `pending`.
     int longPending = 0; ///< Long prompts in `pending`.
     LoadReport report; ///< The target's own, lagging word.
@@ -71,9 +72,13 @@
 /// @brief Takes in a report, without counting own work in it twice.
 void noteReport(TargetView &view, const LoadReport &report, Milliseconds now);
 
+/// @brief Own prompt tokens at a target that it processes before a new prompt.
+TokenCount ownTokensBefore(const TargetView &view, LengthClass length, LanePolicy policy);
+
 /// @brief Time that a prompt waits at a target before its own prefill starts, in milliseconds.
+/// @param usualRate Prefill rate of the service, for a target whose own is not measured.
 double expectedWaitMs(const TargetView &view, LengthClass length, LanePolicy policy,
-                      Milliseconds now);
+                      double usualRate, Milliseconds now);
 
 /// @brief Views among which a request may choose: `order[first]` to `order[last - 1]`.
 struct Candidates
@@ -82,6 +87,9 @@
     const std::vector<std::size_t> &order;
     std::size_t first = 0;
     std::size_t last = 0;
+    double usualRate = assumedPrefillTokensPerMs; ///< Prefill rate of the service.
+    std::size_t poolEnd = 0; ///< Before it, short requests leave `keptFree` for a long one.
+    TokenCount keptFree = 0; ///< Memory that the next waiting long request needs.
 };
 
 /// @brief Chooses the target for a request: of those with room, the one with the shortest wait,
--- a/include/egretmount/routing/lane_policy.h
+++ b/include/egretmount/routing/lane_policy.h
@@ -47,8 +47,10 @@
 PoolSizes poolSizes(LanePolicy policy, const LengthDemand &demand, std::size_t targets,
                     double prefillTokensPerMs);
 
-/// @brief The priority that is stated to the engine. @param level Of the team's priority.
-int enginePriority(LanePolicy policy, LengthClass length, int level);
+/// @brief The priority that is stated to the engine.
+/// @param level Of the team's priority.
+/// @param isWithinShare The team uses no more than its share, so it goes before those that do.
+int enginePriority(LanePolicy policy, LengthClass length, int level, bool isWithinShare);
 
 } // namespace egretmount::routing
 
--- a/include/egretmount/routing/rates.h
+++ b/include/egretmount/routing/rates.h
@@ -11,7 +11,7 @@
 /// no new sample could ever mend it.
 struct Rates
 {
-    double overheadMs = 0; ///< First-token time of a short prompt.
+    double overheadMs = 0; ///< First-token time of a short prompt that waits for nothing.
     double prefillTokensPerMs = 0; ///< Zero: not measured yet.
     double msPerToken = 0; ///< Of one stream; zero: not measured yet.
     double outputShare = 1; ///< Part of `maxTokens` that answers use.
@@ -19,21 +19,25 @@
     Milliseconds decodeMeasured;
 };
 
-/// @brief Used while a target's prefill rate is not measured.
+/// @brief Used while no prefill rate of a service is measured.
 constexpr double assumedPrefillTokensPerMs = 100;
 
 constexpr Milliseconds ratesLifetime = Milliseconds(3'000);
 
 /// @brief Takes in a first token.
-/// @param tokens The prompt's tokens and those that waited before it.
-void noteFirstToken(Rates &rates, TokenCount tokens, Milliseconds elapsed, Milliseconds now);
+///
+/// Only prompts that are long in themselves measure the prefill rate: of the prompts before a short
+/// one an unknown part was already processed when it was sent.
+/// @param tokensBefore Prompts that the target had to process before.
+void noteFirstToken(Rates &rates, TokenCount promptTokens, TokenCount tokensBefore,
+                    Milliseconds elapsed, Milliseconds now);
 
 /// @brief Takes in a whole answer. @param elapsed From the first token to the last.
 void noteAnswer(Rates &rates, TokenCount generated, TokenCount maxTokens, Milliseconds elapsed,
                 Milliseconds now);
 
-/// @brief The prefill rate, or the assumed one. Above zero.
-double prefillRate(const Rates &rates, Milliseconds now);
+/// @brief The prefill rate in tokens per millisecond, or `otherwise` while it is not measured.
+double prefillRate(const Rates &rates, double otherwise, Milliseconds now);
 
 /// @brief Time that a request takes from being sent to its last token, if nothing is before it.
 /// @return Zero for what is not measured.
--- a/src/admission/lane_queue.cpp
+++ b/src/admission/lane_queue.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+// A team that uses no more than its share has at most so many waiting requests, and at most so many
+// tokens above the floor.
+constexpr std::size_t burstRequests = 2;
+constexpr TokenCount burstTokens = 16'000;
+
 TokenCount costOf(const Request &request)
 {
     return admission::costOf(request.promptTokens, request.maxTokens);
@@ -16,16 +21,32 @@
     return lane.order == LaneOrder::Arrival ? TeamId() : request.team;
 }
 
-void leaveTurns(Lane &lane, const TeamId &id, const TeamQueue &team)
+// The set that a team is in: `turns` if it has waiting requests, else `idle`.
+std::set<std::pair<double, TeamId>> &setOf(Lane &lane, const TeamQueue &team)
 {
-    lane.turns.erase({ team.served, id });
-    lane.busyWeight = lane.turns.empty() ? 0 : lane.busyWeight - team.weight;
+    return team.requests.empty() ? lane.idle : lane.turns;
 }
 
-void joinTurns(Lane &lane, const TeamId &id, const TeamQueue &team)
+// A team at the floor is the same as an unknown one, so its row need not be kept.
+void forgetIdle(Lane &lane)
 {
-    lane.turns.insert({ team.served, id });
-    lane.busyWeight += team.weight;
+    while (!lane.idle.empty() && lane.idle.begin()->first <= lane.floor) {
+        const auto team = lane.teams.find(lane.idle.begin()->second);
+        lane.knownWeight -= team->second.weight;
+        lane.teams.erase(team);
+        lane.idle.erase(lane.idle.begin());
+    }
+}
+
+TeamQueue &knownTeam(Lane &lane, const TeamId &id, double weight)
+{
+    const auto found = lane.teams.find(id);
+    if (found != lane.teams.end())
+        return found->second;
+    TeamQueue &team = lane.teams[id];
+    team.weight = weight;
+    lane.knownWeight += weight;
+    return team;
 }
 
 Request takeOut(Lane &lane, const TeamId &id, std::map<QueueKey, Request>::iterator place)
@@ -39,31 +60,25 @@
     return request;
 }
 
-// A team at the floor is the same as an unknown one, so its row need not be kept.
-void forgetIfIdle(Lane &lane, const TeamId &id)
-{
-    const auto team = lane.teams.find(id);
-    if (team->second.requests.empty() && team->second.served <= lane.floor)
-        lane.teams.erase(team);
-}
-
 } // namespace
 
 void push(Lane &lane, const Request &request, double weight)
 {
     const TeamId id = teamIn(lane, request);
-    TeamQueue &team = lane.teams[id];
+    TeamQueue &team = knownTeam(lane, id, weight);
+    setOf(lane, team).erase({ team.served, id });
     if (team.requests.empty()) {
+        lane.knownWeight += weight - team.weight;
         team.weight = weight;
         if (lane.liftsReturning)
             team.served = std::max(team.served, lane.floor);
-        joinTurns(lane, id, team);
     }
     const bool byArrival = lane.order == LaneOrder::Arrival;
     const Milliseconds urgent =
         byArrival ? Milliseconds() : std::min(request.deadline, request.arrival + ageingLimit);
     const QueueKey key { urgent, ++lane.arrivals };
     team.requests.emplace(key, request);
+    lane.turns.insert({ team.served, id });
     team.queuedTokens += costOf(request);
     lane.queuedTokens += costOf(request);
     lane.places[request.id] = { id, key };
@@ -76,16 +91,25 @@
     return &lane.teams.at(lane.turns.begin()->second).requests.begin()->second;
 }
 
+bool isFrontWithinShare(const Lane &lane)
+{
+    const TeamQueue &team = lane.teams.at(lane.turns.begin()->second);
+    const Request &request = team.requests.begin()->second;
+    const TokenCount tokens = std::max(burstTokens, 2 * costOf(request));
+    const double burst = static_cast<double>(tokens) / team.weight;
+    return team.requests.size() <= burstRequests && team.served <= lane.floor + burst;
+}
+
 Request popFront(Lane &lane)
 {
     const TeamId id = lane.turns.begin()->second;
     TeamQueue &team = lane.teams.at(id);
-    leaveTurns(lane, id, team);
+    lane.turns.erase(lane.turns.begin());
     Request request = takeOut(lane, id, team.requests.begin());
     lane.floor = std::max(lane.floor, team.served);
     team.served += static_cast<double>(costOf(request)) / team.weight;
-    if (!team.requests.empty())
-        joinTurns(lane, id, team);
+    setOf(lane, team).insert({ team.served, id });
+    forgetIdle(lane);
     return request;
 }
 
@@ -96,26 +120,22 @@
         return false;
     const std::pair<TeamId, QueueKey> position = place->second;
     TeamQueue &team = lane.teams.at(position.first);
+    lane.turns.erase({ team.served, position.first });
     takeOut(lane, position.first, team.requests.find(position.second));
-    if (team.requests.empty()) {
-        leaveTurns(lane, position.first, team);
-        forgetIfIdle(lane, position.first);
-    }
+    setOf(lane, team).insert({ team.served, position.first });
+    forgetIdle(lane);
     return true;
 }
 
-void charge(Lane &lane, const TeamId &id, TokenCount tokens)
+bool isFull(const Lane &lane, const TeamId &id, std::size_t most)
 {
-    const auto found = lane.teams.find(lane.order == LaneOrder::Arrival ? TeamId() : id);
-    if (found == lane.teams.end())
-        return;
-    TeamQueue &team = found->second;
-    const bool isWaiting = !team.requests.empty();
-    if (isWaiting)
-        lane.turns.erase({ team.served, found->first });
-    team.served += static_cast<double>(tokens) / team.weight;
-    if (isWaiting)
-        lane.turns.insert({ team.served, found->first });
+    if (lane.order == LaneOrder::Arrival || lane.size() >= most)
+        return lane.size() >= most;
+    if (lane.size() < most / 2)
+        return false;
+    const auto team = lane.teams.find(id);
+    const std::size_t own = team == lane.teams.end() ? 0 : team->second.requests.size();
+    return own >= most / 2 / (lane.turns.size() + 1);
 }
 
 double tokensAhead(const Lane &lane, const Request &request, double weight)
@@ -124,14 +144,14 @@
     if (lane.order == LaneOrder::Arrival)
         return all;
     const auto team = lane.teams.find(request.team);
-    const bool isWaiting = team != lane.teams.end() && !team->second.requests.empty();
     double own = static_cast<double>(costOf(request));
-    if (isWaiting)
-        own += static_cast<double>(team->second.queuedTokens);
-    // Tokens that the team was served above the floor delay it as queued ones do.
-    if (team != lane.teams.end())
-        own += std::max(0.0, team->second.served - lane.floor) * weight;
-    const double othersWeight = lane.busyWeight - (isWaiting ? team->second.weight : 0);
+    double othersWeight = lane.knownWeight;
+    if (team != lane.teams.end()) {
+        // Tokens that the team was served above the floor delay it as queued ones do.
+        own += static_cast<double>(team->second.queuedTokens)
+               + std::max(0.0, team->second.served - lane.floor) * weight;
+        othersWeight -= team->second.weight;
+    }
     return std::min(all, own * (1 + othersWeight / weight));
 }
 
--- a/src/admission/overload.cpp
+++ b/src/admission/overload.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Milliseconds drainWindow = 200_ms;
+constexpr Milliseconds drainWindow = 300_ms;
 constexpr double drainWeight = 0.3; // of a new sample
 constexpr Milliseconds leastSpread = 1'000_ms;
 
@@ -20,6 +20,7 @@
         rate.isOpen = true;
         rate.windowStart = now;
         rate.windowTokens = 0;
+        return; // it opens the window, so its own tokens took no part of it
     }
     rate.windowTokens += tokens;
     const Milliseconds length = now - rate.windowStart;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -119,7 +119,7 @@
         return refusal(request, ErrorId::PromptTooLong, "no target has that much memory", {});
     noteArrival(service.demand, request.promptTokens, now);
     const Milliseconds backlog = laneBacklog(service, lane);
-    if (service.lanes[index].size() >= state.maxWaiting)
+    if (admission::isFull(service.lanes[index], request.team, state.maxWaiting))
         return refusal(request, ErrorId::Overloaded, "the queue is full",
                        admission::retryAfter(backlog, state.random));
     if (expectedEnd(service, lane, request, weight, now) > request.deadline)
@@ -147,12 +147,13 @@
     running.hasFirstToken = true;
     running.firstTokenAt = now;
     ServiceState &service = serviceOf(state, running.request.service);
-    const TokenCount tokens = running.request.promptTokens + running.tokensBefore;
-    noteFirstToken(service.rates, tokens, now - running.sentAt, now);
+    const TokenCount prompt = running.request.promptTokens;
+    const Milliseconds elapsed = now - running.sentAt;
+    noteFirstToken(service.rates, prompt, running.tokensBefore, elapsed, now);
     noteLongDone(service, running.request);
     TargetView *view = findView(state, running.target);
     if (view) {
-        noteFirstToken(view->rates, tokens, now - running.sentAt, now);
+        noteFirstToken(view->rates, prompt, running.tokensBefore, elapsed, now);
         notePrefilled(*view, running.request);
     }
     Decisions decisions;
--- a/src/routing/lane_policy.cpp
+++ b/src/routing/lane_policy.cpp
@@ -10,10 +10,11 @@
 namespace {
 
 constexpr double demandHalfLifeMs = 5'000;
-constexpr double reserveHeadroom = 2; // over the measured share of short prompts
+constexpr double reserveHeadroom = 1.25; // over the measured share of short prompts
 constexpr double leastReserveShare = 0.2; // of the targets
 constexpr double poolHorizonMs = 250; // a pool works its backlog off in this time
-constexpr int levelsPerClass = 1'000;
+constexpr int levelsPerClass = 10'000; // above the highest level and the bonus together
+constexpr int shareBonus = 5'000;
 
 std::size_t reserveFor(const LengthDemand &demand, std::size_t targets)
 {
@@ -53,14 +54,15 @@
     return sizes;
 }
 
-int enginePriority(LanePolicy policy, LengthClass length, int level)
+int enginePriority(LanePolicy policy, LengthClass length, int level, bool isWithinShare)
 {
     if (policy == LanePolicy::Fifo)
         return 0;
+    const int own = level + (isWithinShare ? shareBonus : 0);
     if (policy == LanePolicy::Static)
-        return level;
+        return own;
     const int rank = static_cast<int>(LengthClass::Huge) - static_cast<int>(length);
-    return rank * levelsPerClass + level;
+    return rank * levelsPerClass + own;
 }
 
 } // namespace egretmount::routing
--- a/src/routing/pump.cpp
+++ b/src/routing/pump.cpp
@@ -29,14 +29,16 @@
     }
 }
 
-void send(DispatchState &state, const Request &request, TargetView &view, Milliseconds now,
-          Decisions &decisions)
+void send(DispatchState &state, const Request &request, bool isWithinShare, TargetView &view,
+          Milliseconds now, Decisions &decisions)
 {
-    state.running[request.id] = { request, view.id, now, {}, false, view.waitingPromptTokens };
-    noteSent(view, request, now);
     const LengthClass length = lengthClassOf(request.promptTokens);
+    const TokenCount before = ownTokensBefore(view, length, state.policy);
+    state.running[request.id] = { request, view.id, now, {}, false, before };
+    noteSent(view, request, now);
     decisions.assigned.push_back(
-        { request.id, view.id, enginePriority(state.policy, length, request.priority) });
+        { request.id, view.id,
+          enginePriority(state.policy, length, request.priority, isWithinShare) });
 }
 
 // The usable targets without those that failed lately.
@@ -50,18 +52,32 @@
     return order;
 }
 
-// Short prompts use idle targets of the pool too, unless long ones wait for them.
+// The memory that the next long request needs; zero if none waits.
+TokenCount neededByLong(const ServiceState &service)
+{
+    TokenCount needed = 0;
+    for (LengthClass lane : { LengthClass::Long, LengthClass::Huge }) {
+        const Request *next = admission::front(service.lanes[static_cast<std::size_t>(lane)]);
+        needed = std::max(needed, next ? next->memoryTokens() : 0);
+    }
+    return needed;
+}
+
 Candidates candidatesFor(const DispatchState &state, const ServiceState &service, LengthClass lane,
-                         const PoolSizes &sizes, const std::vector<std::size_t> &order)
+                         const std::vector<std::size_t> &order, Milliseconds now)
 {
+    const double rate = prefillRate(service.rates, assumedPrefillTokensPerMs, now);
+    const PoolSizes sizes = poolSizes(state.policy, service.demand, order.size(), rate);
+    Candidates candidates { state.targets, order, 0, order.size(), rate };
     if (sizes.shortReserve == 0)
-        return { state.targets, order, 0, order.size() };
+        return candidates;
     if (isLongClass(lane))
-        return { state.targets, order, 0, sizes.longPool };
-    const bool longWaits = !service.lanes[static_cast<std::size_t>(LengthClass::Long)].isEmpty()
-                           || !service.lanes[static_cast<std::size_t>(LengthClass::Huge)].isEmpty();
-    const bool keepsOut = state.policy == LanePolicy::Static || longWaits;
-    return { state.targets, order, keepsOut ? sizes.longPool : 0, order.size() };
+        candidates.last = sizes.longPool;
+    else if (state.policy == LanePolicy::Static)
+        candidates.first = sizes.longPool;
+    candidates.keptFree = neededByLong(service);
+    candidates.poolEnd = candidates.keptFree > 0 ? sizes.longPool : 0;
+    return candidates;
 }
 
 void pumpLane(DispatchState &state, ServiceState &service, LengthClass lane,
@@ -74,12 +90,13 @@
             chooseTarget(candidates, *next, state.policy, state.ownZone, now);
         if (!choice)
             return;
+        const bool isWithinShare = admission::isFrontWithinShare(queue);
         const Request request = admission::popFront(queue);
         service.lastChances.erase({ service.waiting.at(request.id).lastChance, request.id });
         service.waiting.erase(request.id);
         admission::noteDrained(drain, admission::costOf(request.promptTokens, request.maxTokens),
                                now);
-        send(state, request, state.targets[*choice], now, decisions);
+        send(state, request, isWithinShare, state.targets[*choice], now, decisions);
     }
     admission::noteEmpty(drain);
 }
@@ -152,12 +169,10 @@
         return;
     refuseLate(state, service, now, decisions);
     const std::vector<std::size_t> order = candidatesNow(state, service, now);
-    const double rate = prefillRate(service.rates, now);
     for (LengthClass lane : pumpOrder) {
         if (laneIn(service, lane).isEmpty())
             continue;
-        const PoolSizes sizes = poolSizes(state.policy, service.demand, order.size(), rate);
-        pumpLane(state, service, lane, candidatesFor(state, service, lane, sizes, order), now,
+        pumpLane(state, service, lane, candidatesFor(state, service, lane, order, now), now,
                  decisions);
     }
 }
--- a/src/routing/rates.cpp
+++ b/src/routing/rates.cpp
@@ -11,7 +11,8 @@
 constexpr double sampleWeight = 0.2;
 constexpr double outputMargin = 1.5; // over the mean part of `maxTokens` that answers use
 // Below this the time of a prefill says more of the network than of the engine.
-constexpr TokenCount leastBulkTokens = shortPromptTokens;
+constexpr TokenCount leastBulkTokens = 2 * shortPromptTokens;
+constexpr double overheadRise = 0.01; // of a longer sample, as only the shortest ones had no wait
 
 void mix(double &estimate, double sample)
 {
@@ -25,13 +26,18 @@
 
 } // namespace
 
-void noteFirstToken(Rates &rates, TokenCount tokens, Milliseconds elapsed, Milliseconds now)
+void noteFirstToken(Rates &rates, TokenCount promptTokens, TokenCount tokensBefore,
+                    Milliseconds elapsed, Milliseconds now)
 {
     const double elapsedMs = std::max(1.0, static_cast<double>(elapsed.count()));
-    if (tokens < leastBulkTokens)
-        return mix(rates.overheadMs, elapsedMs);
-    const double working = std::max(1.0, elapsedMs - rates.overheadMs);
-    mix(rates.prefillTokensPerMs, static_cast<double>(tokens) / working);
+    if (promptTokens < std::max(leastBulkTokens, tokensBefore)) {
+        const double difference = elapsedMs - rates.overheadMs;
+        const bool isLower = rates.overheadMs <= 0 || difference < 0;
+        rates.overheadMs += isLower ? difference : overheadRise * difference;
+        return;
+    }
+    const double working = std::max(elapsedMs / 2, elapsedMs - rates.overheadMs);
+    mix(rates.prefillTokensPerMs, static_cast<double>(promptTokens + tokensBefore) / working);
     rates.prefillMeasured = now;
 }
 
@@ -50,10 +56,10 @@
     rates.decodeMeasured = now;
 }
 
-double prefillRate(const Rates &rates, Milliseconds now)
+double prefillRate(const Rates &rates, double otherwise, Milliseconds now)
 {
     const bool isUsable = rates.prefillTokensPerMs > 0 && isFresh(rates.prefillMeasured, now);
-    return isUsable ? rates.prefillTokensPerMs : assumedPrefillTokensPerMs;
+    return isUsable ? rates.prefillTokensPerMs : otherwise;
 }
 
 Milliseconds expectedRunTime(const Rates &rates, TokenCount promptTokens, TokenCount maxTokens,
--- /dev/null
+++ b/tests/parts/support/small_fleet.h
@@ -0,0 +1,290 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <list>
+#include <vector>
+
+#include <egretmount/routing/dispatcher.h>
+
+namespace egretmount::tests {
+
+/// @brief Rates of a modelled target, those of the engine stand-in by default, per millisecond.
+struct TargetRates
+{
+    TokenCount memoryTokens = 400'000;
+    std::int64_t slots = 64;
+    double prefill = 400;
+    double decode = 20;
+    double stream = 0.2; ///< Most of one stream.
+};
+
+/// @brief One request of a workload, and what became of it.
+struct Arrival
+{
+    Request request;
+    double weight = 1;
+    TokenCount answerTokens = 0;
+    bool isRefused = false;
+    Milliseconds refusedAt;
+    Milliseconds retryAfter;
+    bool hasFirstToken = false;
+    Milliseconds firstToken;
+    bool isDone = false;
+    Milliseconds doneAt;
+
+    Milliseconds firstTokenTime() const { return firstToken - request.arrival; }
+    bool isInTime() const { return isDone && doneAt <= request.deadline; }
+    bool isLong() const { return routing::isLongClass(lengthClassOf(request.promptTokens)); }
+};
+
+/// @brief One dispatcher and a few targets that batch like the engine stand-in, in steps of 1 ms.
+class SmallFleet
+{
+public:
+    routing::DispatchState state;
+    std::function<void(SmallFleet &, Milliseconds)> onStep;
+
+    SmallFleet(routing::LanePolicy policy, std::size_t targets, TargetRates rates = {})
+        : m_rates(rates)
+        , m_batches(targets)
+    {
+        state.policy = policy;
+        state.ownZone = ZoneId("a");
+        views.resize(targets);
+        for (std::size_t i = 0; i < targets; ++i) {
+            views[i].id = TargetId("engine-" + std::to_string(i));
+            views[i].service = ServiceId("llm");
+            views[i].zone = ZoneId(std::string(1, static_cast<char>('a' + i % 3)));
+            views[i].capacity = { rates.memoryTokens, rates.slots };
+            views[i].spendable = views[i].capacity;
+        }
+        routing::setTargets(state, views, Milliseconds());
+    }
+
+    std::vector<routing::TargetView> views; ///< What the document says; see `publish`.
+
+    /// @brief Puts the changed `views` in force.
+    void publish(Milliseconds now) { carryOut(routing::setTargets(state, views, now), now); }
+
+    /// @brief Streams that a target holds.
+    std::size_t streamsAt(std::size_t target) const { return m_batches[target].streams.size(); }
+
+    /// @brief Runs a workload, sorted by arrival, until `end`.
+    void run(std::vector<Arrival> &arrivals, Milliseconds end)
+    {
+        m_arrivals = &arrivals;
+        std::size_t next = 0;
+        for (Milliseconds now; now < end; now += Milliseconds(1)) {
+            if (onStep)
+                onStep(*this, now);
+            for (; next < arrivals.size() && arrivals[next].request.arrival <= now; ++next) {
+                const Request &request = arrivals[next].request;
+                carryOut(routing::submit(state, request, arrivals[next].weight, now), now);
+            }
+            for (std::size_t i = 0; i < m_batches.size(); ++i)
+                step(i, now);
+            if (now.count() % 10 == 0)
+                carryOut(routing::tick(state, now), now);
+        }
+    }
+
+private:
+    struct Stream
+    {
+        std::size_t arrival = 0;
+        int priority = 0;
+        bool isAdmitted = false;
+        double prefilled = 0;
+        double generated = 0;
+    };
+
+    struct Batch
+    {
+        std::list<Stream> streams; // by priority, then arrival
+        TokenCount usedTokens = 0;
+        std::int64_t usedSlots = 0;
+        std::deque<TokenCount> waiting; // for the lag of reports
+    };
+
+    Arrival &arrivalOf(const Stream &stream) { return (*m_arrivals)[stream.arrival]; }
+    static std::size_t indexOf(const RequestId &id) { return std::stoul(id.value); }
+
+    void carryOut(const routing::Decisions &decisions, Milliseconds now)
+    {
+        for (const routing::Refused &refused : decisions.refused) {
+            Arrival &arrival = (*m_arrivals)[indexOf(refused.request)];
+            arrival.isRefused = true;
+            arrival.refusedAt = now;
+            arrival.retryAfter = refused.error.retryAfter;
+        }
+        for (const routing::Assigned &assigned : decisions.assigned) {
+            std::list<Stream> &streams = m_batches[state.indexes.at(assigned.target)].streams;
+            const auto place = std::find_if(streams.begin(), streams.end(), [&](const Stream &s) {
+                return s.priority < assigned.enginePriority;
+            });
+            Stream stream;
+            stream.arrival = indexOf(assigned.request);
+            stream.priority = assigned.enginePriority;
+            streams.insert(place, stream);
+        }
+    }
+
+    void admit(Batch &batch)
+    {
+        for (Stream &stream : batch.streams) {
+            if (stream.isAdmitted)
+                continue;
+            const TokenCount needed = arrivalOf(stream).request.memoryTokens();
+            if (batch.usedTokens + needed > m_rates.memoryTokens
+                || batch.usedSlots >= m_rates.slots)
+                return;
+            stream.isAdmitted = true;
+            batch.usedTokens += needed;
+            ++batch.usedSlots;
+        }
+    }
+
+    double missing(const Stream &stream)
+    {
+        return static_cast<double>(arrivalOf(stream).request.promptTokens) - stream.prefilled;
+    }
+
+    void step(std::size_t index, Milliseconds now)
+    {
+        Batch &batch = m_batches[index];
+        admit(batch);
+        double decoding = 0;
+        double waiting = 0;
+        for (const Stream &stream : batch.streams) {
+            decoding += stream.isAdmitted && missing(stream) <= 0 ? 1 : 0;
+            waiting += std::max(0.0, missing(stream));
+        }
+        const double total = waiting > 0 ? m_rates.decode / 2 : m_rates.decode;
+        const double each = decoding > 0 ? std::min(m_rates.stream, total / decoding) : 0;
+        double budget = m_rates.prefill * std::max(0.5, 1 - each * decoding / m_rates.decode);
+        std::vector<std::size_t> firsts;
+        std::vector<std::size_t> ended;
+        for (auto stream = batch.streams.begin(); stream != batch.streams.end();) {
+            Arrival &arrival = arrivalOf(*stream);
+            if (stream->isAdmitted && missing(*stream) <= 0) {
+                stream->generated += each;
+                if (!arrival.hasFirstToken && stream->generated >= 1)
+                    firsts.push_back(stream->arrival);
+            } else if (stream->isAdmitted) {
+                const double done = std::min(budget, missing(*stream));
+                budget -= done;
+                stream->prefilled += done;
+            }
+            const bool isOver = stream->generated >= static_cast<double>(arrival.answerTokens)
+                                || now > arrival.request.deadline;
+            if (!isOver) {
+                ++stream;
+                continue;
+            }
+            arrival.isDone = now <= arrival.request.deadline;
+            arrival.doneAt = now;
+            ended.push_back(stream->arrival);
+            batch.usedTokens -= stream->isAdmitted ? arrival.request.memoryTokens() : 0;
+            batch.usedSlots -= stream->isAdmitted ? 1 : 0;
+            stream = batch.streams.erase(stream);
+        }
+        report(index, static_cast<TokenCount>(waiting), now);
+        for (std::size_t first : firsts) {
+            (*m_arrivals)[first].hasFirstToken = true;
+            (*m_arrivals)[first].firstToken = now;
+            const RequestId &id = (*m_arrivals)[first].request.id;
+            carryOut(routing::noteFirstToken(state, id, now), now);
+        }
+        for (std::size_t end : ended)
+            finish((*m_arrivals)[end], now);
+    }
+
+    void finish(const Arrival &arrival, Milliseconds now)
+    {
+        const routing::Outcome outcome =
+            arrival.isDone ? routing::Outcome::Completed : routing::Outcome::Cancelled;
+        carryOut(routing::finish(state, arrival.request.id, outcome, arrival.answerTokens, now),
+                 now);
+    }
+
+    void report(std::size_t index, TokenCount waiting, Milliseconds now)
+    {
+        constexpr std::size_t lagSteps = 200;
+        Batch &batch = m_batches[index];
+        batch.waiting.push_back(waiting);
+        if (batch.waiting.size() <= lagSteps)
+            return;
+        routing::LoadReport load;
+        load.waitingPromptTokens = batch.waiting.front();
+        batch.waiting.pop_front();
+        if (now.count() % 20 == 0)
+            carryOut(routing::noteReport(state, views[index].id, load, now), now);
+    }
+
+    TargetRates m_rates;
+    std::vector<Batch> m_batches;
+    std::vector<Arrival> *m_arrivals = nullptr;
+};
+
+/// @brief A Poisson workload: one prompt in 50 has 100,000 to 200,000 tokens.
+struct Workload
+{
+    double requestsPerSecond = 200;
+    Milliseconds length = Milliseconds(10'000);
+    bool hasLong = true;
+    Milliseconds shortDeadline = Milliseconds(2'000);
+    Milliseconds longDeadline = Milliseconds(20'000);
+    std::uint64_t seed = 1;
+};
+
+/// @brief The arrivals of a workload. Without long prompts the short ones are the very same.
+inline std::vector<Arrival> makeArrivals(const Workload &workload)
+{
+    Random random(workload.seed);
+    std::vector<Arrival> arrivals;
+    const double end = static_cast<double>(workload.length.count());
+    int count = 0;
+    for (double at = 0; at < end; ++count) {
+        at -= std::log(1 - random.fraction()) * 1000 / workload.requestsPerSecond;
+        const bool isLong = random.below(50) == 0;
+        const TokenCount longTokens = 100'000 + static_cast<TokenCount>(random.below(100'000));
+        const TokenCount shortTokens = 200 + static_cast<TokenCount>(random.below(2'400));
+        if (isLong && !workload.hasLong)
+            continue;
+        Arrival arrival;
+        arrival.answerTokens = 10 + static_cast<TokenCount>(random.below(30));
+        arrival.request.maxTokens = 48;
+        arrival.request.promptTokens = isLong ? longTokens : shortTokens;
+        arrival.request.id = RequestId(std::to_string(arrivals.size()));
+        arrival.request.team = TeamId("team-" + std::to_string(count % 10));
+        arrival.request.service = ServiceId("llm");
+        arrival.request.arrival = Milliseconds(static_cast<std::int64_t>(at));
+        arrival.request.deadline =
+            arrival.request.arrival + (isLong ? workload.longDeadline : workload.shortDeadline);
+        arrivals.push_back(arrival);
+    }
+    return arrivals;
+}
+
+/// @brief A quantile of the first-token times of the arrivals that `selects`, in milliseconds.
+inline std::int64_t firstTokenQuantile(const std::vector<Arrival> &arrivals, double quantile,
+                                       const std::function<bool(const Arrival &)> &selects)
+{
+    std::vector<std::int64_t> times;
+    for (const Arrival &arrival : arrivals) {
+        if (arrival.hasFirstToken && selects(arrival))
+            times.push_back(arrival.firstTokenTime().count());
+    }
+    if (times.empty())
+        return 0;
+    const auto place =
+        times.begin()
+        + static_cast<std::ptrdiff_t>(quantile * static_cast<double>(times.size() - 1));
+    std::nth_element(times.begin(), place, times.end());
+    return *place;
+}
+
+} // namespace egretmount::tests
