--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -25,7 +25,7 @@
         view.address = target.address;
         view.acceptsNewWork = config::acceptsNewWork(document, target);
         view.capacity = target.capacity;
-        view.spendable = target.capacity;
+        view.spendable = config::Capacity();
         views.push_back(std::move(view));
     }
     return views;
@@ -49,7 +49,13 @@
     ConfigService &config = m_registry.find<ConfigService>();
     config.onDocument(
         [this, &config](const config::FleetDocument &) { takeDocument(config.document()); });
-    m_loop.every(tickInterval, [this] { carryOut(routing::tick(m_state, monotonicNow())); });
+    m_credit = &m_registry.find<CreditService>();
+    m_credit->onShareChanged([this] { refreshShares(); });
+    m_loop.every(tickInterval, [this] {
+        refreshShares();
+        carryOut(routing::tick(m_state, monotonicNow()));
+        borrowForBlocked();
+    });
 }
 
 void DispatchService::submit(const Request &request, Decided decided)
@@ -67,12 +73,21 @@
 
 void DispatchService::noteFirstToken(const RequestId &id)
 {
-    m_loop.post([this, id] { carryOut(routing::noteFirstToken(m_state, id, monotonicNow())); });
+    m_loop.post([this, id] {
+        const auto running = m_state.running.find(id);
+        if (running != m_state.running.end() && !running->second.hasFirstToken)
+            m_credit->noteFirstToken(running->second.target, running->second.request.promptTokens,
+                                     monotonicNow() - running->second.sentAt);
+        carryOut(routing::noteFirstToken(m_state, id, monotonicNow()));
+    });
 }
 
 void DispatchService::noteReport(const TargetId &target, const routing::LoadReport &report)
 {
     m_loop.post([this, target, report] {
+        m_credit->noteReport(
+            target, { report.bootId, { report.usedTokens, report.usedSlots }, report.isWarm },
+            monotonicNow());
         carryOut(routing::noteReport(m_state, target, report, monotonicNow()));
     });
 }
@@ -80,6 +95,12 @@
 void DispatchService::finish(const RequestId &id, Outcome outcome, TokenCount generated)
 {
     m_loop.post([this, id, outcome, generated] {
+        const bool isHeld = m_state.running.count(id) > 0;
+        // A target ends a request at its deadline at the latest; until then it may still hold it.
+        if (isHeld)
+            m_credit->release(id,
+                              outcome == Outcome::Completed ? Ending::Certain : Ending::Unknown);
+        refreshShares();
         carryOut(routing::finish(m_state, id, outcome, generated, monotonicNow()));
     });
 }
@@ -89,15 +110,55 @@
     return m_loop.call([this] { return admission::takeRetry(m_retries); });
 }
 
-void DispatchService::setSpendable(const TargetId &target, const config::Capacity &spendable)
-{
-    carryOut(routing::setSpendable(m_state, target, spendable, monotonicNow()));
-}
-
 void DispatchService::takeDocument(const std::shared_ptr<const config::FleetDocument> &document)
 {
     m_document = document;
     carryOut(routing::setTargets(m_state, viewsOf(*document), monotonicNow()));
+    refreshShares();
+}
+
+void DispatchService::refreshShares()
+{
+    for (const config::Target &target :
+         m_document ? m_document->targets : std::vector<config::Target>()) {
+        const config::Capacity share = m_credit->share(target.id);
+        const routing::TargetView *view = routing::findView(m_state, target.id);
+        const bool isSame =
+            view && view->spendable.tokens == share.tokens && view->spendable.slots == share.slots;
+        if (view && !isSame)
+            carryOut(routing::setSpendable(m_state, target.id, share, monotonicNow()));
+    }
+}
+
+void DispatchService::borrowForBlocked()
+{
+    for (const routing::BlockedRequest &blocked :
+         routing::blockedRequests(m_state, monotonicNow())) {
+        if (m_borrowing.count(blocked.request.id) == 0)
+            borrow(blocked);
+    }
+}
+
+void DispatchService::borrow(const routing::BlockedRequest &blocked)
+{
+    const Request &request = blocked.request;
+    for (const TargetId &target : blocked.candidates) {
+        if (!m_credit->mayBorrow(target, request))
+            continue;
+        m_borrowing.insert(request.id);
+        m_credit->borrow(target, request, [this, target, id = request.id](bool isGranted) {
+            m_borrowing.erase(id);
+            if (!isGranted)
+                return;
+            const routing::Decisions decisions =
+                routing::assignTo(m_state, id, target, monotonicNow());
+            // The request was answered meanwhile: what was borrowed for it goes back unused.
+            if (decisions.assigned.empty())
+                m_credit->release(id, Ending::Certain);
+            carryOut(decisions);
+        });
+        return;
+    }
 }
 
 void DispatchService::decide(const Request &request, const Decided &decided)
@@ -117,12 +178,21 @@
 
 void DispatchService::carryOut(const routing::Decisions &decisions)
 {
+    for (const routing::Assigned &assigned : decisions.assigned)
+        take(assigned);
     for (const routing::Assigned &assigned : decisions.assigned)
         answer(assigned.request, makeAssignment(assigned));
     for (const routing::Refused &refused : decisions.refused)
         answer(refused.request, tl::make_unexpected(refused.error));
 }
 
+void DispatchService::take(const routing::Assigned &assigned)
+{
+    const auto running = m_state.running.find(assigned.request);
+    if (running != m_state.running.end())
+        m_credit->take(assigned.target, running->second.request);
+}
+
 void DispatchService::answer(const RequestId &id, Result<Assignment> result)
 {
     const auto found = m_undecided.find(id);
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -2,14 +2,16 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include <egretmount/core/error.h>
 #include <egretmount/core/request.h>
-#include <egretmount/routing/dispatcher.h>
+#include <egretmount/routing/borrowing.h>
 
+#include "credit_service.h"
 #include "entry_settings.h"
 #include "kernel/loop.h"
 #include "kernel/service.h"
@@ -60,25 +62,28 @@
     /// @brief Spends one internal retry. @return False if the budget is used up. Any thread.
     bool takeRetry();
 
-    /// @brief Sets this instance's share of a target. Loop thread only.
-    void setSpendable(const TargetId &target, const config::Capacity &spendable);
-
-    /// @brief What is known of the targets. Loop thread only.
-    const std::vector<routing::TargetView> &targets() const { return m_state.targets; }
+    /// @brief What is known of targets and requests. Loop thread only.
+    const routing::DispatchState &state() const { return m_state; }
 
 private:
     void takeDocument(const std::shared_ptr<const config::FleetDocument> &document);
     void decide(const Request &request, const Decided &decided);
     void carryOut(const routing::Decisions &decisions);
+    void take(const routing::Assigned &assigned);
+    void refreshShares();
+    void borrowForBlocked();
+    void borrow(const routing::BlockedRequest &blocked);
     void answer(const RequestId &id, Result<Assignment> result);
     Result<Assignment> makeAssignment(const routing::Assigned &assigned);
 
     kernel::Loop &m_loop;
     kernel::Registry &m_registry;
+    CreditService *m_credit = nullptr; // set by start
     std::shared_ptr<const config::FleetDocument> m_document;
     routing::DispatchState m_state;
     admission::RetryBudget m_retries;
     std::unordered_map<RequestId, Decided> m_undecided;
+    std::set<RequestId> m_borrowing; // requests that wait for a lender
 };
 
 } // namespace egretmount::entry
--- a/src/routing/pump.cpp
+++ b/src/routing/pump.cpp
@@ -29,18 +29,6 @@
     }
 }
 
-void send(DispatchState &state, const Request &request, bool isWithinShare, TargetView &view,
-          Milliseconds now, Decisions &decisions)
-{
-    const LengthClass length = lengthClassOf(request.promptTokens);
-    const TokenCount before = ownTokensBefore(view, length, state.policy);
-    state.running[request.id] = { request, view.id, now, {}, false, before };
-    noteSent(view, request, now);
-    decisions.assigned.push_back(
-        { request.id, view.id,
-          enginePriority(state.policy, length, request.priority, isWithinShare) });
-}
-
 // The usable targets without those that failed lately.
 std::vector<std::size_t> candidatesNow(const DispatchState &state, const ServiceState &service,
                                        Milliseconds now)
@@ -136,18 +124,38 @@
     service.lastChances.insert({ lastChance, request.id });
 }
 
-bool removeWaiting(ServiceState &service, const RequestId &id)
+std::optional<Request> takeWaiting(ServiceState &service, const RequestId &id)
 {
     const auto waiting = service.waiting.find(id);
     if (waiting == service.waiting.end())
-        return false;
+        return std::nullopt;
     admission::Lane &lane = laneIn(service, waiting->second.lane);
-    noteLongDone(service,
-                 lane.teams.at(lane.places.at(id).first).requests.at(lane.places.at(id).second));
+    const Request request =
+        lane.teams.at(lane.places.at(id).first).requests.at(lane.places.at(id).second);
     admission::remove(lane, id);
     service.lastChances.erase({ waiting->second.lastChance, id });
     service.waiting.erase(waiting);
-    return true;
+    return request;
+}
+
+void send(DispatchState &state, const Request &request, bool isWithinShare, TargetView &view,
+          Milliseconds now, Decisions &decisions)
+{
+    const LengthClass length = lengthClassOf(request.promptTokens);
+    const TokenCount before = ownTokensBefore(view, length, state.policy);
+    state.running[request.id] = { request, view.id, now, {}, false, before };
+    noteSent(view, request, now);
+    decisions.assigned.push_back(
+        { request.id, view.id,
+          enginePriority(state.policy, length, request.priority, isWithinShare) });
+}
+
+bool removeWaiting(ServiceState &service, const RequestId &id)
+{
+    const std::optional<Request> request = takeWaiting(service, id);
+    if (request)
+        noteLongDone(service, *request);
+    return request.has_value();
 }
 
 void noteLongDone(ServiceState &service, const Request &request)
--- a/src/routing/pump.h
+++ b/src/routing/pump.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include <egretmount/routing/dispatcher.h>
 
 namespace egretmount::routing {
@@ -17,6 +19,14 @@
 /// @brief Takes a request out of its lane. @return False if it does not wait.
 bool removeWaiting(ServiceState &service, const RequestId &request);
 
+/// @brief Takes a request out of its lane in order to send it. @return Nothing if it does not wait.
+std::optional<Request> takeWaiting(ServiceState &service, const RequestId &request);
+
+/// @brief Marks a request as running at a target.
+/// @param isWithinShare Its team uses no more than its share.
+void send(DispatchState &state, const Request &request, bool isWithinShare, TargetView &view,
+          Milliseconds now, Decisions &decisions);
+
 /// @brief Tells that a prompt is no longer part of the long backlog.
 void noteLongDone(ServiceState &service, const Request &request);
 
--- a/tests/parts/routing_dispatcher_test.cpp
+++ b/tests/parts/routing_dispatcher_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <egretmount/routing/borrowing.h>
 #include <egretmount/routing/dispatcher.h>
 
 using namespace egretmount;
@@ -157,3 +158,15 @@
     submit(state, makeRequest("twin", 10, 0_ms), 1, 0_ms);
     CHECK(submit(state, makeRequest("twin", 10, 0_ms), 1, 0_ms).refused.size() == 1);
 }
+
+TEST_CASE("routing offers a request for borrowing only if no share has room")
+{
+    DispatchState state = makeState(LanePolicy::Elastic, 2);
+    submit(state, makeRequest("1", 90'000, 0_ms), 1, 0_ms);
+    submit(state, makeRequest("2", 90'000, 0_ms), 1, 0_ms); // waits for its turn in the pool
+    CHECK(blockedRequests(state, 0_ms).empty());
+    for (const TargetView &view : std::vector<TargetView>(state.targets))
+        setSpendable(state, view.id, { 50'000, 8 }, 0_ms);
+    REQUIRE(blockedRequests(state, 0_ms).size() == 1);
+    CHECK(blockedRequests(state, 0_ms)[0].request.id.value == "2");
+}
