Learn the tokens of prompts, and keep team limits

Cause: prompts were taken to have one token for four bytes, while an engine counted over 400,000 tokens where 300,000 were estimated, so the memory of targets was overfilled; and the token limits of teams were read and not kept.

The estimate now is the second highest ratio of the last 32 prompts of the team, else of the service, learnt from the usage in the last chunk of an answer; before any it is 0.35 tokens a byte. A team limit is split over the listed instances so that the parts add up to it; a share shrinks at once and grows ten seconds later, as others may still see the older list.

Ruled out: the mean ratio, which is too low for half of the prompts; samples of prompts below 512 bytes, which the fixed parts of a chat distort.

--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -8,6 +8,7 @@
 
 #include "call_relay.h"
 #include "config_service.h"
+#include "dispatch_service.h"
 #include "http/headers.h"
 #include "once_relay.h"
 #include "peer_service.h"
@@ -145,7 +146,8 @@
     if (!request)
         return exchange.sendError(request.error());
     request->arrival = arrival;
-    request->promptTokens = completion->promptTokens;
+    request->promptBytes = completion->promptBytes;
+    request->promptTokens = m_registry.find<DispatchService>().estimateTokens(*request);
     request->maxTokens = completion->maxTokens;
     CompletionRelay relay(m_registry, exchange, *request, *body);
     relay.run();
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -37,6 +37,7 @@
                                  const EntrySettings &settings)
     : m_loop(loop)
     , m_registry(registry)
+    , m_self(settings.id)
 {
     m_state.policy = settings.lanePolicy;
     m_state.ownZone = settings.zone;
@@ -49,6 +50,7 @@
     ConfigService &config = m_registry.find<ConfigService>();
     config.onDocument(
         [this, &config](const config::FleetDocument &) { takeDocument(config.document()); });
+    config.onList([this](const membership::InstanceList &list) { takeList(list); });
     m_credit = &m_registry.find<CreditService>();
     m_credit->onShareChanged([this] { refreshShares(); });
     m_loop.every(tickInterval, [this] {
@@ -66,8 +68,10 @@
 void DispatchService::withdraw(const RequestId &id)
 {
     m_loop.post([this, id] {
-        if (m_undecided.erase(id) > 0)
-            routing::withdraw(m_state, id);
+        if (m_undecided.erase(id) == 0)
+            return;
+        routing::withdraw(m_state, id);
+        returnTeamTokens(id);
     });
 }
 
@@ -100,11 +104,27 @@
         if (isHeld)
             m_credit->release(id,
                               outcome == Outcome::Completed ? Ending::Certain : Ending::Unknown);
+        returnTeamTokens(id);
         refreshShares();
         carryOut(routing::finish(m_state, id, outcome, generated, monotonicNow()));
     });
 }
 
+TokenCount DispatchService::estimateTokens(const Request &request)
+{
+    return m_loop.call([this, &request] {
+        return admission::estimateTokens(m_estimator, request.service, request.team,
+                                         request.promptBytes);
+    });
+}
+
+void DispatchService::noteUsage(const Request &request, TokenCount promptTokens)
+{
+    m_loop.post(
+        [this, service = request.service, team = request.team, bytes = request.promptBytes,
+         promptTokens] { admission::noteUsage(m_estimator, service, team, bytes, promptTokens); });
+}
+
 bool DispatchService::takeRetry()
 {
     return m_loop.call([this] { return admission::takeRetry(m_retries); });
@@ -117,6 +137,14 @@
     refreshShares();
 }
 
+void DispatchService::takeList(const membership::InstanceList &list)
+{
+    std::vector<InstanceId> listed;
+    for (const membership::ListedInstance &instance : list)
+        listed.push_back(instance.id);
+    admission::setInstances(m_limits, listed, m_self, monotonicNow());
+}
+
 void DispatchService::refreshShares()
 {
     for (const config::Target &target :
@@ -172,6 +200,12 @@
                             "a request with this id is being served",
                             admission::retryAfter({}, m_state.random)));
     }
+    if (!takeTeamTokens(request, team)) {
+        m_undecided.erase(request.id);
+        return decided(fail(ErrorId::TeamLimitReached, Verdict::NotRun,
+                            "the team's token limit is used up at this instance",
+                            admission::retryAfter({}, m_state.random)));
+    }
     const double weight = team ? static_cast<double>(team->weight) : 1.0;
     carryOut(routing::submit(m_state, request, weight, monotonicNow()));
 }
@@ -182,8 +216,32 @@
         take(assigned);
     for (const routing::Assigned &assigned : decisions.assigned)
         answer(assigned.request, makeAssignment(assigned));
-    for (const routing::Refused &refused : decisions.refused)
+    for (const routing::Refused &refused : decisions.refused) {
+        // A refused twin of a running request holds nothing of its own.
+        if (m_state.running.count(refused.request) == 0)
+            returnTeamTokens(refused.request);
         answer(refused.request, tl::make_unexpected(refused.error));
+    }
+}
+
+bool DispatchService::takeTeamTokens(const Request &request, const config::Team *team)
+{
+    if (!team || team->tokenLimit == 0 || m_limited.count(request.id) > 0)
+        return true;
+    if (!admission::takeTokens(m_limits, team->id, team->tokenLimit, request.memoryTokens(),
+                               monotonicNow()))
+        return false;
+    m_limited.emplace(request.id, request);
+    return true;
+}
+
+void DispatchService::returnTeamTokens(const RequestId &id)
+{
+    const auto limited = m_limited.find(id);
+    if (limited == m_limited.end())
+        return;
+    admission::returnTokens(m_limits, limited->second.team, limited->second.memoryTokens());
+    m_limited.erase(limited);
 }
 
 void DispatchService::take(const routing::Assigned &assigned)
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -7,8 +7,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include <egretmount/admission/team_limits.h>
+#include <egretmount/admission/token_estimate.h>
 #include <egretmount/core/error.h>
 #include <egretmount/core/request.h>
+#include <egretmount/membership/instance_list.h>
 #include <egretmount/routing/borrowing.h>
 
 #include "credit_service.h"
@@ -59,6 +62,12 @@
     /// @param generated Tokens of the answer, as far as it came.
     void finish(const RequestId &id, Outcome outcome, TokenCount generated = 0);
 
+    /// @brief Estimated tokens of a request's prompt, from its length. Any thread.
+    TokenCount estimateTokens(const Request &request);
+
+    /// @brief Takes in how many tokens a target counted in a prompt. Any thread.
+    void noteUsage(const Request &request, TokenCount promptTokens);
+
     /// @brief Spends one internal retry. @return False if the budget is used up. Any thread.
     bool takeRetry();
 
@@ -67,7 +76,10 @@
 
 private:
     void takeDocument(const std::shared_ptr<const config::FleetDocument> &document);
+    void takeList(const membership::InstanceList &list);
     void decide(const Request &request, const Decided &decided);
+    bool takeTeamTokens(const Request &request, const config::Team *team);
+    void returnTeamTokens(const RequestId &id);
     void carryOut(const routing::Decisions &decisions);
     void take(const routing::Assigned &assigned);
     void refreshShares();
@@ -82,6 +94,10 @@
     std::shared_ptr<const config::FleetDocument> m_document;
     routing::DispatchState m_state;
     admission::RetryBudget m_retries;
+    admission::TokenEstimator m_estimator;
+    admission::TeamLimits m_limits;
+    std::unordered_map<RequestId, Request> m_limited; // requests that hold a part of a team limit
+    InstanceId m_self;
     std::unordered_map<RequestId, Decided> m_undecided;
     std::set<RequestId> m_borrowing; // requests that wait for a lender
 };
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -4,6 +4,7 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/NumberParser.h>
+#include <Poco/String.h>
 #include <glog/logging.h>
 
 #include "config_service.h"
@@ -22,7 +23,7 @@
 namespace {
 
 constexpr Milliseconds cancelTimeout = 500_ms;
-constexpr TokenCount bytesPerToken = 4;
+constexpr std::string_view usageField = "\"prompt_tokens\":";
 constexpr TokenCount defaultMaxTokens = 16;
 constexpr TokenCount highestMaxTokens = 1'000'000;
 
@@ -38,10 +39,9 @@
         // Extracting, unlike converting, refuses values of other types.
         read.service = ServiceId(object->get("model").extract<std::string>());
         const std::string prompt = object->get("prompt").extract<std::string>();
-        read.promptTokens =
-            (static_cast<TokenCount>(prompt.size()) + bytesPerToken - 1) / bytesPerToken;
+        read.promptBytes = static_cast<std::int64_t>(prompt.size());
         read.maxTokens = object->optValue<TokenCount>("max_tokens", defaultMaxTokens);
-        if (read.promptTokens == 0 || read.maxTokens < 1 || read.maxTokens > highestMaxTokens)
+        if (read.promptBytes == 0 || read.maxTokens < 1 || read.maxTokens > highestMaxTokens)
             return fail(ErrorId::MalformedRequest, Verdict::NotRun,
                         "prompt or max_tokens is out of range");
         return read;
@@ -165,12 +165,26 @@
         m_out = &m_exchange.startEvents();
     }
     *m_out << "id: " << chunk.offset << '\n' << chunk.payload << '\n';
+    if (chunk.isLast)
+        noteUsage(chunk);
     if (chunk.isLast)
         *m_out << "event: verdict\ndata: {\"verdict\":\"ran\"}\n\ndata: [DONE]\n\n";
     *m_out << std::flush;
     return static_cast<bool>(*m_out);
 }
 
+void CompletionRelay::noteUsage(const stream::Chunk &last)
+{
+    const std::size_t field = last.payload.find(usageField);
+    if (field == std::string::npos)
+        return;
+    const std::size_t start = field + usageField.size();
+    const std::size_t end = last.payload.find_first_of(",}", start);
+    Poco::Int64 tokens = 0;
+    if (Poco::NumberParser::tryParse64(Poco::trim(last.payload.substr(start, end - start)), tokens))
+        m_dispatch.noteUsage(m_request, tokens);
+}
+
 void CompletionRelay::answerError(const Error &error)
 {
     if (m_watch->interruption() == Interruption::CallerGone) {
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -18,7 +18,7 @@
 struct CompletionBody
 {
     ServiceId service; ///< The `model` of the request names a service.
-    TokenCount promptTokens = 0; ///< Estimated from the length of the prompt.
+    std::int64_t promptBytes = 0;
     TokenCount maxTokens = 0;
 };
 
@@ -45,6 +45,7 @@
     Result<void> relayFrom(const Assignment &assignment);
     Result<void> readEvents(std::istream &stream);
     bool forward(const stream::Chunk &chunk);
+    void noteUsage(const stream::Chunk &last);
     void answerError(const Error &error);
     void cancelAt(const std::string &address);
     Error interruptionError() const;
--- a/include/egretmount/core/request.h
+++ b/include/egretmount/core/request.h
@@ -18,6 +18,7 @@
     Milliseconds deadline; ///< On the monotonic clock of this instance.
     int priority = 0; ///< Higher runs first; from the team's priority class.
     std::uint64_t prefixHash = 0; ///< Hash of the first block of the prompt; zero: unknown.
+    std::int64_t promptBytes = 0; ///< Length of the prompt's text; zero: it has none.
     bool isRepeatable = true; ///< False: a second execution would do harm.
 
     /// @brief Tokens of target memory that the request needs at most.
