--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -9,6 +9,7 @@
 #include "call_relay.h"
 #include "config_service.h"
 #include "credit_service.h"
+#include "dispatch_service.h"
 #include "http/headers.h"
 #include "metrics_service.h"
 #include "once_relay.h"
@@ -152,7 +153,8 @@
     if (!request)
         return exchange.sendError(request.error());
     request->arrival = arrival;
-    request->promptTokens = completion->promptTokens;
+    request->promptBytes = completion->promptBytes;
+    request->promptTokens = m_registry.find<DispatchService>().estimateTokens(*request);
     request->maxTokens = completion->maxTokens;
     if (m_registry.find<DispatchService>().needsSpan(*request))
         return SpanRelay(m_registry, exchange, *request, *body).run();
--- a/src/routing/pump.h
+++ b/src/routing/pump.h
@@ -23,8 +23,9 @@
 std::optional<Request> takeWaiting(ServiceState &service, const RequestId &request);
 
 /// @brief Marks a request as running at a target.
-void send(DispatchState &state, const Request &request, TargetView &view, Milliseconds now,
-          Decisions &decisions);
+/// @param isWithinShare Its team uses no more than its share.
+void send(DispatchState &state, const Request &request, bool isWithinShare, TargetView &view,
+          Milliseconds now, Decisions &decisions);
 
 /// @brief Tells that a prompt is no longer part of the long backlog.
 void noteLongDone(ServiceState &service, const Request &request);
