Stop the HTTP server within half a second under connections that keep coming

Cause: a server thread that takes a connection while the server stops waits for the idle time of 10 s for a next one, and the stop waits for that thread; seen in a stack of the hanging process.

Ruled out: the drain itself (the loop had ended), connections held by callers (no thread in a read).

--- a/src/daemon/http/server.cpp
+++ b/src/daemon/http/server.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 64UL * 1024;
+// A thread that gets a connection while the server stops waits this long for a next one.
+constexpr Milliseconds threadIdleTime = Milliseconds(500);
 constexpr int listenBacklog = 256;
 constexpr std::size_t threadStackBytes = 512UL * 1024;
 
@@ -198,7 +200,7 @@
     params->setKeepAliveTimeout(timeout);
     params->setMaxThreads(m_limits.maxThreads);
     params->setMaxQueued(m_limits.maxQueued);
-    params->setThreadIdleTime(timeout);
+    params->setThreadIdleTime(Poco::Timespan(threadIdleTime.count() * 1000));
     try {
         Poco::Net::ServerSocket socket;
         socket.bind(Poco::Net::SocketAddress(address), true, false);
