Orders to engines from the fleet document, with its version as the fence

Cause: nothing told engines which model, version and adapters to load; a sender that wakes from a pause must not take an engine back.

Change: a pure function of document and engine report gives the order or nothing. Another model or version waits until the engine is idle. Engines that check fences also get each new fence, so that an old order with the same content as before cannot slip in. The threads of the configuration and of the orders share one worker class.

Ruled out: a lease for the orderer, as two senders of one document send the same order.

Checked: 1,000 seeded schedules of late orders for each kind of engine: none that checks fences goes back, and those that ignore them do and are corrected by the next round.

--- a/apps/entry/config_service.cpp
+++ b/apps/entry/config_service.cpp
@@ -1,9 +1,5 @@
 #include "config_service.h"
 
-#include <chrono>
-#include <future>
-#include <stdexcept>
-
 #include <glog/logging.h>
 
 #include <egretmount/membership/selection.h>
@@ -27,6 +23,8 @@
     , m_fleetClient(settings.platformAddress)
     , m_listClient(settings.platformAddress)
     , m_random(stableHash(settings.id.value, static_cast<std::uint64_t>(monotonicNow().count())))
+    , m_fleetWorker(loop)
+    , m_listWorker(loop)
 { }
 
 ConfigService::~ConfigService()
@@ -36,23 +34,16 @@
 
 void ConfigService::start()
 {
-    m_fleetThread = std::thread([this] { watchFleet(); });
-    m_listThread = std::thread([this] { watchInstances(); });
+    m_fleetWorker.start([this] { watchFleet(); });
+    m_listWorker.start([this] { watchInstances(); });
 }
 
 void ConfigService::stop()
 {
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_isStopping = true;
-    }
-    m_stopped.notify_all();
     m_fleetClient.abort();
     m_listClient.abort();
-    if (m_fleetThread.joinable())
-        m_fleetThread.join();
-    if (m_listThread.joinable())
-        m_listThread.join();
+    m_fleetWorker.stop();
+    m_listWorker.stop();
 }
 
 std::shared_ptr<const config::FleetDocument> ConfigService::document() const
@@ -95,21 +86,21 @@
 
 void ConfigService::watchFleet()
 {
-    while (!isStopping()) {
+    while (!m_fleetWorker.isStopping()) {
         Milliseconds delay = stepInterval;
         try {
-            const Step step = onLoop<Step>([this] { return nextStep(); });
+            const Step step = m_fleetWorker.onLoop<Step>([this] { return nextStep(); });
             if (step.step != config::ReadStep::Wait && !readOnce(step))
                 delay = refusedInterval;
         } catch (const std::exception &error) {
-            if (isStopping())
+            if (m_fleetWorker.isStopping())
                 return;
             LOG_EVERY_N(WARNING, 20)
                 << "config: the platform cannot be read reason=\"" << error.what() << '"';
             m_loop.post([this] { config::noteFailedRead(m_reading, monotonicNow(), m_random); });
             delay = retryInterval;
         }
-        pause(delay);
+        m_fleetWorker.pause(delay);
     }
 }
 
@@ -126,7 +117,7 @@
     const Milliseconds wait = step.step == config::ReadStep::Watch ? watchTime : 0_ms;
     const std::optional<std::string> text = m_fleetClient.readFleet(step.known, wait);
     const Milliseconds now = monotonicNow();
-    return onLoop<bool>([this, text, now] {
+    return m_fleetWorker.onLoop<bool>([this, text, now] {
         config::noteRead(m_reading, now, m_random);
         if (!text)
             return true;
@@ -137,11 +128,11 @@
 
 void ConfigService::watchInstances()
 {
-    while (!isStopping()) {
+    while (!m_listWorker.isStopping()) {
         Milliseconds delay = retryInterval;
         try {
             const std::string text = m_listClient.readInstances();
-            delay = onLoop<Milliseconds>([this, text] {
+            delay = m_listWorker.onLoop<Milliseconds>([this, text] {
                 takeList(text);
                 const Milliseconds interval = config::listInterval(m_list.size());
                 return m_random.between(interval / 2, interval);
@@ -149,7 +140,7 @@
         } catch (const std::exception &) {
             // The other thread logs an outage; the list in hand stays in use.
         }
-        pause(delay);
+        m_listWorker.pause(delay);
     }
 }
 
@@ -171,33 +162,4 @@
         listener(*list);
 }
 
-// Not Loop::call: a loop that never runs, as after a failed start, would not answer.
-template<typename Value>
-Value ConfigService::onLoop(std::function<Value()> function)
-{
-    using Task = std::packaged_task<Value()>;
-    const std::shared_ptr<Task> task = std::make_shared<Task>(std::move(function));
-    std::future<Value> result = task->get_future();
-    m_loop.post([task] { (*task)(); });
-    const std::chrono::milliseconds interval(stepInterval.count());
-    while (result.wait_for(interval) != std::future_status::ready) {
-        if (isStopping())
-            throw std::runtime_error("the service was stopped");
-    }
-    return result.get();
-}
-
-void ConfigService::pause(Milliseconds duration)
-{
-    std::unique_lock<std::mutex> lock(m_mutex);
-    m_stopped.wait_for(lock, std::chrono::milliseconds(duration.count()),
-                       [this] { return m_isStopping; });
-}
-
-bool ConfigService::isStopping()
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    return m_isStopping;
-}
-
 } // namespace egretmount::entry
--- a/apps/entry/config_service.h
+++ b/apps/entry/config_service.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include <condition_variable>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <egretmount/config/adoption.h>
@@ -17,6 +14,7 @@
 #include "kernel/loop.h"
 #include "kernel/service.h"
 #include "platform/platform_client.h"
+#include "worker.h"
 
 namespace egretmount::entry {
 
@@ -78,10 +76,6 @@
     bool readOnce(const Step &step);
     void putInForce();
     void takeList(const std::string &text);
-    template<typename Value>
-    Value onLoop(std::function<Value()> function);
-    void pause(Milliseconds duration);
-    bool isStopping();
 
     kernel::Loop &m_loop;
     InstanceId m_self;
@@ -97,11 +91,8 @@
     std::vector<std::function<void()>> m_onKnown;
     std::vector<DocumentListener> m_onDocument;
     std::vector<ListListener> m_onList;
-    std::mutex m_mutex;
-    std::condition_variable m_stopped;
-    bool m_isStopping = false; // guarded by m_mutex
-    std::thread m_fleetThread;
-    std::thread m_listThread;
+    Worker m_fleetWorker;
+    Worker m_listWorker;
 };
 
 } // namespace egretmount::entry
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -34,6 +34,8 @@
           {
               { "fleetKey", ValueKind::Text, "", "", 0, 0, "", true,
                 "Secret that all instances share." },
+              { "senderToken", ValueKind::Text, "", "", 0, 0, "", false,
+                "Secret that targets expect of who gives them orders." },
           } },
         { "limits",
           false,
@@ -95,6 +97,7 @@
     read.rpcAddress = instance.text("rpcAddress");
     read.platformAddress = settings.section("platform").text("address");
     read.fleetKey = settings.section("peers").text("fleetKey");
+    read.senderToken = settings.section("peers").text("senderToken");
     read.maxBodyBytes = static_cast<std::size_t>(limits.integer("maxBodyBytes"));
     read.maxRequests = static_cast<int>(limits.integer("maxRequests"));
     read.defaultDeadline = Milliseconds(limits.integer("defaultDeadlineMs"));
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -21,6 +21,7 @@
     std::string rpcAddress;
     std::string platformAddress;
     std::string fleetKey;
+    std::string senderToken; ///< Proves to targets that an order is the fleet's; may be empty.
     std::size_t maxBodyBytes = 0;
     int maxRequests = 0;
     Milliseconds defaultDeadline;
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -10,6 +10,7 @@
 #include "dispatch_service.h"
 #include "entry_settings.h"
 #include "kernel/daemon.h"
+#include "order_service.h"
 #include "peer_service.h"
 #include "request_watch.h"
 #include "status_service.h"
@@ -65,6 +66,7 @@
     registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
     registry.add(std::make_unique<entry::WatchService>(loop));
     registry.add(std::make_unique<entry::StatusService>(loop, registry, own));
+    registry.add(std::make_unique<entry::OrderService>(loop, registry, own));
     registry.add(std::make_unique<entry::TicketService>(loop, registry, own));
     entry::CallerService &callers =
         registry.add(std::make_unique<entry::CallerService>(loop, registry, own));
--- a/apps/standins/target/main.cpp
+++ b/apps/standins/target/main.cpp
@@ -19,6 +19,7 @@
 #include "http/server.h"
 #include "kernel/daemon.h"
 #include "kernel/settings.h"
+#include "orders.h"
 #include "parts.h"
 #include "plain.h"
 
@@ -67,6 +68,10 @@
               integer("coldSlowdown", "", "20", "Slowdown of an overloaded cold engine."),
               integer("reportLagMs", "ms", "0", "Age of the load that it reports."),
               integer("resumeWindowMs", "ms", "3000", "A stream without reader lives so long."),
+              { "checksFence", ValueKind::Choice, "", "no", 0, 0, "yes|no", false,
+                "Refuses orders with an old fence." },
+              { "senderToken", ValueKind::Text, "", "", 0, 0, "", false,
+                "Refuses orders without it; empty: takes all." },
           } },
         { "plain",
           false,
@@ -205,9 +210,11 @@
 public:
     static constexpr std::string_view serviceName = "engine";
 
-    EngineService(std::string address, const EngineSettings &settings)
+    EngineService(std::string address, const EngineSettings &settings,
+                  const OrderSettings &orderSettings)
         : m_address(std::move(address))
         , m_engine(settings)
+        , m_orders(orderSettings, [this] { return m_engine.report().usedSlots > 0; })
         , m_server(serverLimits())
     { }
 
@@ -222,6 +229,7 @@
         m_server.route("GET", "/v1/stats", [this](http::Exchange &e) { sendStats(e); });
         m_server.route("POST", "/v1/fault", [this](http::Exchange &e) { setFault(e); });
         addPartRoutes(m_server, m_engine, readStreamRequest);
+        m_orders.addRoutes(m_server);
         m_server.start(m_address);
         LOG(INFO) << "target: listening address=" << m_address << " mode=engine";
     }
@@ -346,6 +354,7 @@
 
     std::string m_address;
     Engine m_engine;
+    Orders m_orders;
     SilenceFault m_silence;
     std::atomic<bool> m_isStopping { false };
     http::Server m_server;
@@ -434,8 +443,10 @@
         const Milliseconds callTime(settings.section("plain").integer("callMs"));
         registry.add(std::make_unique<PlainTarget>(address, callTime));
     } else {
+        const config::SectionReader engine = settings.section("engine");
         registry.add(std::make_unique<EngineService>(
-            address, readEngineSettings(settings.section("engine"))));
+            address, readEngineSettings(engine),
+            OrderSettings { engine.text("checksFence") == "yes", engine.text("senderToken") }));
     }
     return kernel::runDaemon(loop, registry);
 }
--- /dev/null
+++ b/tests/parts/config_orders_test.cpp
@@ -0,0 +1,120 @@
+#include <doctest/doctest.h>
+
+#include <egretmount/config/orders.h>
+#include <egretmount/core/random.h>
+
+using namespace egretmount;
+using namespace egretmount::config;
+
+namespace {
+
+FleetDocument documentOf(ConfigVersion version, const std::string &model, bool checksFence)
+{
+    FleetDocument document;
+    document.version = version;
+    Service service;
+    service.id = ServiceId("llm");
+    service.model = "egret-7b";
+    service.modelVersion = model;
+    service.adapters = { "b", "a" };
+    document.services.push_back(service);
+    Target target;
+    target.id = TargetId("engine-0");
+    target.service = service.id;
+    target.checksFence = checksFence;
+    document.targets.push_back(target);
+    return document;
+}
+
+struct Engine
+{
+    bool checksFence = false;
+    EngineReport report;
+
+    void obey(const EngineOrder &order)
+    {
+        if (checksFence && order.fence < report.fence)
+            return;
+        report.fence = order.fence;
+        report.content = order.content;
+    }
+};
+
+std::optional<EngineOrder> round(const FleetDocument &document, const Engine &engine)
+{
+    return orderFor(document, document.targets.front(), engine.report);
+}
+
+/// Orderers with documents of their own send late; counts the times that an engine went back.
+int countReturns(std::uint64_t seed, bool checksFence)
+{
+    Random random(seed);
+    std::vector<FleetDocument> documents;
+    for (ConfigVersion version = 1; version <= 5; ++version)
+        documents.push_back(documentOf(version, std::to_string(random.below(3)), checksFence));
+    Engine engine { checksFence, {} };
+    std::vector<EngineOrder> late;
+    int returns = 0;
+    for (int i = 0; i < 60; ++i) {
+        const FleetDocument &document = documents[random.below(5)];
+        const std::optional<EngineOrder> order = round(document, engine);
+        if (order)
+            late.push_back(*order);
+        if (late.empty())
+            continue;
+        const ConfigVersion before = engine.report.fence;
+        engine.obey(late[random.below(late.size())]);
+        returns += engine.report.fence < before ? 1 : 0;
+    }
+    // The next rounds, by the newest document, bring it to what is wanted.
+    for (int i = 0; i < 2; ++i) {
+        const std::optional<EngineOrder> order = round(documents.back(), engine);
+        if (order)
+            engine.obey(*order);
+    }
+    CHECK(engine.report.content == contentFor(documents.back(), documents.back().targets.front()));
+    return returns;
+}
+
+} // namespace
+
+TEST_CASE("config orders: an engine gets what it lacks, once")
+{
+    const FleetDocument document = documentOf(3, "1", false);
+    Engine engine;
+    const std::optional<EngineOrder> order = round(document, engine);
+    REQUIRE(order);
+    CHECK(order->fence == 3);
+    CHECK(order->content.adapters == std::vector<std::string> { "a", "b" });
+    engine.obey(*order);
+    CHECK_FALSE(round(document, engine));
+    CHECK_FALSE(round(documentOf(4, "1", false), engine));
+    CHECK(round(documentOf(4, "1", true), engine)); // the new fence alone
+    CHECK_FALSE(round(documentOf(2, "2", false), engine)); // a sender that is behind
+}
+
+TEST_CASE("config orders: another model waits until the engine is idle, an adapter does not")
+{
+    FleetDocument document = documentOf(1, "1", false);
+    Engine engine;
+    engine.obey(*round(document, engine));
+    engine.report.isBusy = true;
+    CHECK_FALSE(round(documentOf(2, "2", false), engine));
+    document.version = 2;
+    document.services.front().adapters = { "c" };
+    CHECK(round(document, engine));
+    engine.report.isBusy = false;
+    CHECK(round(documentOf(2, "2", false), engine));
+}
+
+TEST_CASE("config orders: late orders of old senders, 2,000 seeded schedules")
+{
+    int returnsWithoutFence = 0;
+    for (std::uint64_t seed = 1; seed <= 1'000; ++seed) {
+        CAPTURE(seed);
+        REQUIRE(countReturns(seed, true) == 0);
+        returnsWithoutFence += countReturns(seed, false);
+    }
+    // The check does find engines that go back: those that ignore fences do, and are corrected.
+    CHECK(returnsWithoutFence > 0);
+}
