Measure a document of 7,500 teams on real processes

Cause: bytes for one changed team were counted on the pure part only, and no run showed a document near the size limit on 8 instances. Ruled out: the parse on the loop as a cause of a missed bound. Conclusion: the exchange by chunks holds over RPC; no change to the code.

--- a/tests/processes/config_test.cpp
+++ b/tests/processes/config_test.cpp
@@ -1,10 +1,14 @@
 #include <algorithm>
 #include <chrono>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
 #include <Poco/Exception.h>
 #include <doctest/doctest.h>
 
+#include <egretmount/core/digest.h>
+
 #include "support/fleet.h"
 
 using namespace egretmount;
@@ -51,6 +55,20 @@
     return monotonicNow() - start;
 }
 
+/// The last number behind a key in the logs of the first `count` instances.
+std::int64_t lastNumberInLogs(const Fleet &fleet, int count, const std::string &key)
+{
+    std::int64_t last = 0;
+    for (int i = 0; i < count; ++i) {
+        std::ifstream stream(fleet.folder() + "/entry-" + std::to_string(i) + ".log");
+        const std::string text { std::istreambuf_iterator<char>(stream), {} };
+        const std::size_t at = text.rfind(key);
+        if (at != std::string::npos)
+            last = std::atoll(text.c_str() + at + key.size());
+    }
+    return last;
+}
+
 void sleepFor(Milliseconds duration)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(duration.count()));
@@ -79,6 +97,28 @@
     CHECK(perSecond < 25.0);
 }
 
+TEST_CASE("config: a document of 7,500 teams is in force on all 8 instances within 4 s")
+{
+    FleetOptions options;
+    options.instances = 8;
+    Fleet fleet(options);
+    fleet.waitReady();
+    std::string teams;
+    for (int i = 0; i < 7'500; ++i) {
+        teams += "[team.team-" + std::to_string(i) + "]\npriority=normal\nweight=1\ntokenHash="
+                 + toHex(sha256(std::to_string(i))) + "\n";
+    }
+    REQUIRE(fleet.publish(fleet.document(2) + teams, 1) == 200);
+    const Milliseconds whole = timeUntilInForce(fleet, 8, 2);
+    const std::string from = "weight=1\ntokenHash=" + toHex(sha256("3000"));
+    teams.replace(teams.find(from), 8, "weight=2");
+    REQUIRE(fleet.publish(fleet.document(3) + teams, 2) == 200);
+    const Milliseconds change = timeUntilInForce(fleet, 8, 3);
+    MESSAGE("bytes=" << teams.size() << " all-new-ms=" << whole.count()
+                     << " one-team-ms=" << change.count()
+                     << " one-team-words=" << lastNumberInLogs(fleet, 8, "words="));
+}
+
 TEST_CASE("config: an invalid document is not adopted and is not read over and over")
 {
     Fleet fleet({});
