--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -59,6 +59,20 @@
               { "reportLagMs", ValueKind::Integer, "ms", "400", 1, highestMilliseconds, "", false,
                 "Greatest age of a target's load report when it arrives." },
           } },
+        { "policy",
+          false,
+          {
+              { "lanes", ValueKind::Choice, "", "elastic", 0, 0, "elastic|static|priority|fifo",
+                false, "How short and long prompts share the targets of a service." },
+          } },
+        { "tickets",
+          false,
+          {
+              { "lifetimeMs", ValueKind::Integer, "ms", "60000", 1, highestMilliseconds, "", false,
+                "How long a ticket for a call that may not be repeated can be used." },
+              { "witness", ValueKind::Choice, "", "yes", 0, 0, "yes|no", false,
+                "Whether a peer must permit such a call before it is sent." },
+          } },
     };
 }
 
@@ -90,6 +104,11 @@
     const config::SectionReader credit = settings.section("credit");
     read.listLag = Milliseconds(credit.integer("listLagMs"));
     read.reportLag = Milliseconds(credit.integer("reportLagMs"));
+    read.lanePolicy = valueNamed<routing::LanePolicy>(settings.section("policy").text("lanes"))
+                          .value_or(routing::LanePolicy::Elastic);
+    const config::SectionReader tickets = settings.section("tickets");
+    read.ticketLifetime = Milliseconds(tickets.integer("lifetimeMs"));
+    read.usesWitness = tickets.text("witness") == "yes";
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <egretmount/config/schema.h>
 #include <egretmount/core/clock.h>
 #include <egretmount/core/ids.h>
+#include <egretmount/routing/lane_policy.h>
 
 #include "kernel/settings.h"
 
@@ -28,6 +29,9 @@
     Milliseconds drainSlack;
     Milliseconds listLag; ///< Two instances have one list within this time.
     Milliseconds reportLag; ///< Greatest age of a target's report when it arrives.
+    routing::LanePolicy lanePolicy = routing::LanePolicy::Elastic;
+    Milliseconds ticketLifetime;
+    bool usesWitness = true;
 };
 
 /// @brief Specification of the settings.
--- a/include/egretmount/credit/escrow.h
+++ b/include/egretmount/credit/escrow.h
@@ -131,9 +131,9 @@
 
 /// @brief Notes that the process runs, and takes back what has expired.
 ///
-/// After a pause nothing is spent for a hold-off; after one that was longer than a hold-off, others
-/// may have taken shares over, so each share is guarded anew. Call it several times within
-/// `pauseBound`.
+/// After a pause nothing is spent until the list has been read again. During a longer one, a list
+/// may have come and gone that gave the shares to others, so each share is guarded anew. Call it
+/// several times within `pauseBound`.
 /// @complexity Linear in the number of accounts and loans.
 void tick(EscrowState &state, Milliseconds now);
 
@@ -147,6 +147,9 @@
 /// @brief Sets the end of the own lease on a cold target; a new lease guards the cold capacity.
 void setLease(EscrowState &state, const TargetId &target, Milliseconds until, Milliseconds now);
 
+/// @brief True while nothing may be spent, as the process has just been paused.
+bool isPaused(const EscrowState &state, Milliseconds now);
+
 /// @brief What may be in flight out of the own share, lent parts included. @complexity Constant.
 Capacity usable(const EscrowState &state, const Account &account, Milliseconds now);
 
@@ -164,7 +167,7 @@
 /// @brief Puts a request in flight out of the own share. @return False if there is no room.
 bool take(EscrowState &state, const TargetId &target, const Request &request, Milliseconds now);
 
-/// @brief Ends a flight.
+/// @brief Ends a flight; one that still gathers is not ended, see `cancelGathering`.
 /// @param isCertain False: the target may hold it up to its deadline, so its capacity stays in use.
 /// @return The loans to give back.
 std::vector<Borrowed> release(EscrowState &state, const RequestId &request, bool isCertain,
