--- a/apps/entry/credit_service.cpp
+++ b/apps/entry/credit_service.cpp
@@ -16,7 +16,6 @@
 
 constexpr Milliseconds sweepInterval = 50_ms;
 constexpr Milliseconds pollInterval = 400_ms;
-constexpr Milliseconds refusalPause = 20_ms;
 constexpr Milliseconds longestSettling = 5'000_ms;
 constexpr Milliseconds slack = 100_ms;
 
@@ -98,18 +97,24 @@
     return !account || account->isCold;
 }
 
-void CreditService::take(const TargetId &target, const Request &request)
+bool CreditService::take(const TargetId &target, const Request &request)
 {
+    follow(credit::cancelGathering(m_escrow, request.id));
     // A request that has borrowed is in flight already.
-    credit::take(m_escrow, target, request, monotonicNow());
+    const auto flight = m_escrow.flights.find(request.id);
+    if (flight != m_escrow.flights.end())
+        return flight->second.target == target;
+    return credit::take(m_escrow, target, request, monotonicNow());
 }
 
 void CreditService::release(const RequestId &request, Ending ending)
 {
+    follow(credit::cancelGathering(m_escrow, request));
     const auto flight = m_escrow.flights.find(request);
     if (flight == m_escrow.flights.end())
         return;
     const TargetId target = flight->second.target;
+    m_changed.insert(target);
     const bool isCertain = ending == Ending::Certain;
     sendReturns(target, credit::release(m_escrow, request, isCertain, monotonicNow()));
 }
@@ -127,6 +132,7 @@
     }
     setWarmth(target, now);
     credit::noteUsed(m_escrow, target, load.used, now);
+    m_changed.insert(target);
 }
 
 void CreditService::noteFirstToken(const TargetId &target, TokenCount promptTokens,
@@ -140,6 +146,18 @@
     }
 }
 
+std::vector<TargetId> CreditService::takeChanged()
+{
+    std::vector<TargetId> changed(m_changed.begin(), m_changed.end());
+    m_changed.clear();
+    return changed;
+}
+
+bool CreditService::isPaused() const
+{
+    return credit::isPaused(m_escrow, monotonicNow());
+}
+
 void CreditService::takeDocument(const config::FleetDocument &document)
 {
     m_targets = document.targets;
@@ -215,6 +233,7 @@
         return;
     LOG(INFO) << "credit: target=" << target.value << (isCold ? " is cold" : " is warm");
     credit::setCold(m_escrow, target, isCold, now);
+    m_changed.insert(target);
     if (!isCold)
         giveUpLease(target, now);
 }
@@ -243,12 +262,10 @@
 {
     if (m_waiting.count(request.id) > 0)
         return granted(false);
-    m_waiting[request.id] = std::move(granted);
-    const credit::GatherStep step = credit::beginGathering(
-        m_escrow, target, request, lendersFor(target, request), monotonicNow());
-    if (step.state == credit::GatherState::Failed)
-        m_refusedUntil[target] = monotonicNow() + refusalPause;
-    follow(step);
+    m_waiting[request.id] = { target, std::move(granted) };
+    m_changed.insert(target);
+    follow(credit::beginGathering(m_escrow, target, request, lendersFor(target, request),
+                                  monotonicNow()));
 }
 
 } // namespace egretmount::entry
--- a/apps/entry/credit_service.h
+++ b/apps/entry/credit_service.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <egretmount/config/document.h>
@@ -55,8 +56,9 @@
     /// @brief True if the target has not shown that it bears its full capacity.
     bool isCold(const TargetId &target) const;
 
-    /// @brief Counts a request as in flight at a target. @pre The share has room for it.
-    void take(const TargetId &target, const Request &request);
+    /// @brief Counts a request as in flight at a target.
+    /// @return False if the share has no room for it; the request must then not be sent.
+    bool take(const TargetId &target, const Request &request);
 
     /// @brief Ends what `take` or `borrow` began; unknown requests are ignored.
     void release(const RequestId &request, Ending ending = Ending::Certain);
@@ -75,6 +77,13 @@
     /// @brief Takes in how long a target needed for a first token.
     void noteFirstToken(const TargetId &target, TokenCount promptTokens, Milliseconds took);
 
+    /// @brief The targets whose share may differ since the last call. Before a decision the
+    ///        dispatcher takes their shares anew, as what was lent since must not be spent.
+    std::vector<TargetId> takeChanged();
+
+    /// @brief True after a gap in the loop, while nothing may be spent.
+    bool isPaused() const;
+
     /// @brief Adds a listener that is called when this instance may spend more than before.
     void onShareChanged(std::function<void()> listener)
     {
@@ -89,6 +98,12 @@
                      wire::LeaseReply::Builder reply);
 
 private:
+    struct Waiting
+    {
+        TargetId target;
+        std::function<void(bool)> granted;
+    };
+
     void takeDocument(const config::FleetDocument &document);
     void takeList(const membership::InstanceList &list);
     void refreshTargets();
@@ -119,7 +134,8 @@
     std::map<TargetId, Milliseconds> m_refusedUntil; // others had no room
     std::vector<config::Target> m_targets;
     std::optional<credit::Roster> m_roster; // set by the first list
-    std::map<RequestId, std::function<void(bool)>> m_waiting; // requests that gather
+    std::set<TargetId> m_changed;
+    std::map<RequestId, Waiting> m_waiting; // requests that gather
     std::vector<std::function<void()>> m_onChange;
     config::Capacity m_lastRoom;
     Milliseconds m_startedAt;
