--- a/apps/entry/once_relay.cpp
+++ b/apps/entry/once_relay.cpp
@@ -107,7 +107,7 @@
     DispatchService &dispatch = m_registry.find<DispatchService>();
     Result<CallAnswer> result = fail(ErrorId::TargetFailed, Verdict::NotRun, "");
     for (int attempts = 0; attempts < maxAttempts; ++attempts) {
-        const Result<Assignment> assignment = requestTarget(dispatch, m_request);
+        const Result<Assignment> assignment = requestTarget(dispatch, m_request, nullptr);
         if (!assignment)
             return tl::make_unexpected(assignment.error());
         result = executeAt(*assignment, *watch);
@@ -115,7 +115,7 @@
         const Outcome failed = isBlameless ? Outcome::Cancelled : Outcome::Failed;
         dispatch.finish(m_request.id, result ? Outcome::Completed : failed);
         const bool isUnsent = !result && result.error().verdict == Verdict::NotRun;
-        if (isBlameless || !isUnsent)
+        if (isBlameless || !isUnsent || !dispatch.takeRetry())
             break;
     }
     return result;
