--- a/apps/entry/credit_calls.cpp
+++ b/apps/entry/credit_calls.cpp
@@ -192,8 +192,7 @@
     for (const InstanceId &id : credit::findLease(m_leases, target)->candidates) {
         if (id == m_escrow.self.instance)
             return true;
-        const membership::PeerView *peer = membership::findPeer(members, id);
-        if (isUsablePeer(id) && !peer->isDraining)
+        if (isUsablePeer(id) && !membership::isLeaving(members, id, monotonicNow()))
             return false;
     }
     return false;
