--- a/apps/load/report.cpp
+++ b/apps/load/report.cpp
@@ -49,6 +49,24 @@
         writeRow(out, prefix + group.first, group.second);
 }
 
+void writePhases(std::ostream &out, const RunRecord &run)
+{
+    constexpr double millisPerSecond = 1000.0;
+    for (const Phase &phase : phasesOf(run)) {
+        const Summary all = summarise(phase.samples);
+        const double seconds = static_cast<double>(phase.length.count()) / millisPerSecond;
+        writeRow(out, "phase " + phase.name, all);
+        writeGroups(out, "  ",
+                    summariseBy(phase.samples, [](const Sample &s) { return s.length; }));
+        out << "  " << static_cast<double>(all.good) / seconds << " good/s, "
+            << static_cast<double>(all.goodTokens) / seconds << " good tokens/s\n";
+        std::map<std::string, std::size_t> targets;
+        for (const Sample &sample : phase.samples)
+            ++targets[sample.target.empty() ? "none" : sample.target];
+        writeCounts(out, "  targets", targets);
+    }
+}
+
 void writeRun(std::ostream &out, const RunRecord &run)
 {
     std::vector<std::int64_t> lateness;
@@ -59,8 +77,6 @@
         << " rate=" << run.requestsPerSecond << "/s seconds=" << run.seconds
         << " unsent=" << run.unsent << " sent-late-p99=" << std::fixed << std::setprecision(1)
         << percentilesOf(std::move(lateness)).p99 << "ms\n";
-    for (const std::string &fault : run.faults)
-        out << "fault: " << fault << '\n';
     out << std::left << std::setw(22) << "group" << std::right << std::setw(7) << "sent"
         << std::setw(7) << "good" << std::setw(6) << "late" << std::setw(8) << "refused"
         << std::setw(10) << "first-50" << std::setw(10) << "95" << std::setw(10) << "99"
@@ -69,6 +85,7 @@
     writeGroups(out, "length ", summariseBy(run.samples, [](const Sample &s) { return s.length; }));
     writeGroups(out, "team ", summariseBy(run.samples, [](const Sample &s) { return s.team; }));
     writeGroups(out, "path ", summariseBy(run.samples, [](const Sample &s) { return s.path; }));
+    writePhases(out, run);
     const double seconds = static_cast<double>(run.seconds);
     out << "goodput: " << static_cast<double>(all.good) / seconds << " requests/s, "
         << static_cast<double>(all.goodTokens) / seconds << " prompt tokens/s\n";
@@ -112,6 +129,27 @@
     return name;
 }
 
+std::vector<Phase> phasesOf(const RunRecord &run)
+{
+    constexpr std::int64_t millisPerSecond = 1000;
+    if (run.faults.empty())
+        return {};
+    std::vector<Phase> phases { { "start", Milliseconds(), {} } };
+    Milliseconds start;
+    std::size_t next = 0;
+    for (const FaultMark &fault : run.faults) {
+        phases.back().length = fault.at - start;
+        while (next < run.samples.size() && run.samples[next].at < fault.at)
+            phases.back().samples.push_back(run.samples[next++]);
+        phases.push_back({ fault.name, Milliseconds(), {} });
+        start = fault.at;
+    }
+    phases.back().length = Milliseconds(run.seconds * millisPerSecond) - start;
+    phases.back().samples.assign(run.samples.begin() + static_cast<std::ptrdiff_t>(next),
+                                 run.samples.end());
+    return phases;
+}
+
 std::vector<Slowdown> slowdownsOf(const std::vector<RunRecord> &runs)
 {
     std::vector<Slowdown> slowdowns;
--- a/apps/load/report.h
+++ b/apps/load/report.h
@@ -13,6 +13,17 @@
 /// @brief A run's name in reports: its label and what was left out.
 std::string nameOfRun(const RunRecord &run);
 
+/// @brief The requests that arrived between one fault and the next.
+struct Phase
+{
+    std::string name; ///< Of the fault that it follows; `start` for the first.
+    Milliseconds length;
+    std::vector<Sample> samples;
+};
+
+/// @brief Splits a run at its faults. @return Nothing for a run without faults.
+std::vector<Phase> phasesOf(const RunRecord &run);
+
 /// @brief The short requests' slowdown by the others: first-token 99th percentile with all lengths
 ///        over the same without some.
 struct Slowdown
--- a/apps/load/report_json.cpp
+++ b/apps/load/report_json.cpp
@@ -78,14 +78,18 @@
     object.set("seconds", run.seconds);
     object.set("unsent", static_cast<std::uint64_t>(run.unsent));
     Array faults;
-    for (const std::string &fault : run.faults)
-        faults.add(fault);
+    for (const FaultMark &fault : run.faults)
+        faults.add(fault.name + " at " + std::to_string(fault.at.count()) + " ms");
     object.set("faults", faults);
     object.set("all", toObject(summarise(run.samples)));
     object.set("lengths",
                toObject(summariseBy(run.samples, [](const Sample &s) { return s.length; })));
     object.set("teams", toObject(summariseBy(run.samples, [](const Sample &s) { return s.team; })));
     object.set("paths", toObject(summariseBy(run.samples, [](const Sample &s) { return s.path; })));
+    Object phases;
+    for (const Phase &phase : phasesOf(run))
+        phases.set(phase.name, toObject(summarise(phase.samples)));
+    object.set("phases", phases);
     object.set("goodput_by_second", goodputOf(run));
     return object;
 }
--- a/apps/load/run_file.cpp
+++ b/apps/load/run_file.cpp
@@ -30,6 +30,29 @@
     return texts;
 }
 
+Array toArray(const std::vector<FaultMark> &faults)
+{
+    Array array;
+    for (const FaultMark &fault : faults) {
+        Object row;
+        row.set("name", fault.name);
+        row.set("at_ms", fault.at.count());
+        array.add(row);
+    }
+    return array;
+}
+
+std::vector<FaultMark> toFaults(const Array::Ptr &array)
+{
+    std::vector<FaultMark> faults;
+    for (unsigned i = 0; i < array->size(); ++i) {
+        const Object::Ptr row = array->getObject(i);
+        faults.push_back({ row->getValue<std::string>("name"),
+                           Milliseconds(row->getValue<std::int64_t>("at_ms")) });
+    }
+    return faults;
+}
+
 Object headOf(const RunRecord &record)
 {
     Object head;
@@ -54,7 +77,7 @@
     record.requestsPerSecond = head.getValue<std::int64_t>("requests_per_second");
     record.seconds = head.getValue<std::int64_t>("seconds");
     record.unsent = static_cast<std::size_t>(head.getValue<std::uint64_t>("unsent"));
-    record.faults = toTexts(head.getArray("faults"));
+    record.faults = toFaults(head.getArray("faults"));
     return record;
 }
 
--- a/apps/load/runner.cpp
+++ b/apps/load/runner.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <iostream>
 #include <memory>
+#include <stdexcept>
 #include <thread>
 
 #include <egretmount/core/names.h>
@@ -73,6 +74,8 @@
                 startWhenDue(pool, i);
         }
         script.join();
+        if (m_hasFailedFault)
+            throw std::runtime_error("a fault could not be carried out; the run says nothing");
         return makeRecord();
     }
 
@@ -169,7 +172,7 @@
             } catch (const std::exception &error) {
                 std::cerr << "egretmount-load: fault " << fault.name << ": " << error.what()
                           << std::endl;
-                m_failedFaults.push_back(fault.name);
+                m_hasFailedFault = true;
             }
         }
     }
@@ -185,9 +188,7 @@
         record.seconds = m_experiment.workload.duration.count() / millisPerSecond;
         record.unsent = m_unsent;
         for (const Fault &fault : m_experiment.faults)
-            record.faults.push_back(fault.name + " at " + std::to_string(fault.at.count()) + " ms");
-        for (const std::string &name : m_failedFaults)
-            record.faults.push_back(name + " failed");
+            record.faults.push_back({ fault.name, fault.at });
         for (std::size_t i = 0; i < m_samples.size(); ++i) {
             if (m_isSent[i])
                 record.samples.push_back(std::move(m_samples[i]));
@@ -203,7 +204,7 @@
     std::vector<char> m_isSent; // one an arrival
     std::size_t m_unsent = 0;
     std::vector<std::unique_ptr<Locator>> m_locators;
-    std::vector<std::string> m_failedFaults; // of the script's thread
+    bool m_hasFailedFault = false; // of the script's thread
     Clock::time_point m_start;
 };
 
--- a/apps/load/runner.h
+++ b/apps/load/runner.h
@@ -8,6 +8,13 @@
 
 namespace egretmount::load {
 
+/// @brief A fault that was carried out.
+struct FaultMark
+{
+    std::string name;
+    Milliseconds at; ///< Since the start of the run.
+};
+
 /// @brief What one run gave.
 struct RunRecord
 {
@@ -18,7 +25,7 @@
     std::int64_t requestsPerSecond = 0;
     std::int64_t seconds = 0;
     std::size_t unsent = 0; ///< Arrivals that found `maxInFlight` requests already under way.
-    std::vector<std::string> faults; ///< Each with its time.
+    std::vector<FaultMark> faults; ///< In order of time.
     std::vector<Sample> samples; ///< In order of arrival.
 };
 
--- a/tests/processes/load_run_test.cpp
+++ b/tests/processes/load_run_test.cpp
@@ -49,7 +49,11 @@
     REQUIRE(run.samples.size() == arrivals.size());
     CHECK(run.unsent == 0);
     CHECK(run.arrivalsDigest == load::digestOf(arrivals));
-    CHECK(run.faults == std::vector<std::string> { "stale at 500 ms" });
+    REQUIRE(load::phasesOf(run).size() == 2);
+    CHECK(load::phasesOf(run)[1].name == "stale");
+    CHECK(load::phasesOf(run)[1].length == 1'500_ms);
+    CHECK(load::phasesOf(run)[0].samples.size() + load::phasesOf(run)[1].samples.size()
+          == run.samples.size());
     const auto isWhole = [](const load::Sample &sample) {
         return sample.isWhole && sample.answerTokens == 4;
     };
