--- a/tests/parts/routing_dispatcher_test.cpp
+++ b/tests/parts/routing_dispatcher_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <egretmount/routing/borrowing.h>
 #include <egretmount/routing/dispatcher.h>
 
 using namespace egretmount;
@@ -63,18 +64,18 @@
 TEST_CASE("routing does not count own work in a report twice")
 {
     TargetView view = makeTarget("a");
-    noteSent(view, makeRequest("1", 5'000, 0_ms), 0_ms);
+    noteSent(view, makeRequest("1", 3'500, 0_ms), 0_ms);
     LoadReport report;
-    report.waitingPromptTokens = 7'000;
+    report.waitingPromptTokens = 5'500;
     noteReport(view, report, 1'000_ms);
     CHECK(view.othersWaiting == 2'000);
-    CHECK(expectedWaitMs(view, LengthClass::Short, LanePolicy::Elastic, 1'000_ms)
-          == doctest::Approx(7'000 / assumedPrefillTokensPerMs));
+    CHECK(expectedWaitMs(view, LengthClass::Short, LanePolicy::Elastic, 275, 1'000_ms)
+          == doctest::Approx(20));
     noteSent(view, makeRequest("2", 3'000, 1'100_ms), 1'100_ms); // not in the next report yet
-    report.waitingPromptTokens = 5'000;
+    report.waitingPromptTokens = 3'500;
     noteReport(view, report, 1'150_ms);
     CHECK(view.othersWaiting == 0);
-    CHECK(view.waitingPromptTokens == 8'000);
+    CHECK(view.waitingPromptTokens == 6'500);
 }
 
 TEST_CASE("routing queues without room, and gives way as soon as there is some")
@@ -157,3 +158,15 @@
     submit(state, makeRequest("twin", 10, 0_ms), 1, 0_ms);
     CHECK(submit(state, makeRequest("twin", 10, 0_ms), 1, 0_ms).refused.size() == 1);
 }
+
+TEST_CASE("routing offers a request for borrowing only if no share has room")
+{
+    DispatchState state = makeState(LanePolicy::Elastic, 2);
+    submit(state, makeRequest("1", 90'000, 0_ms), 1, 0_ms);
+    submit(state, makeRequest("2", 90'000, 0_ms), 1, 0_ms); // waits for its turn in the pool
+    CHECK(blockedRequests(state, 0_ms).empty());
+    for (const TargetView &view : std::vector<TargetView>(state.targets))
+        setSpendable(state, view.id, { 50'000, 8 }, 0_ms);
+    REQUIRE(blockedRequests(state, 0_ms).size() == 1);
+    CHECK(blockedRequests(state, 0_ms)[0].request.id.value == "2");
+}
