Streams resume at the same target, and cancels wait for nobody

A silent connection sent the request to another target, which threw its prefill away; a caller could not resume, the cancel of a request delayed its own answer by up to 500 ms, a full reassembly stalled, and two callers with one id broke each other. Now a new connection resumes at the same target first, Last-Event-ID resumes at any instance, cancels go through threads of their own and name their owner, the dispatch service knows requests under unique ids, and the stand-in joins only equal prompts.

--- a/apps/entry/call_relay.cpp
+++ b/apps/entry/call_relay.cpp
@@ -26,7 +26,8 @@
                                     RequestWatch &watch, Verdict &verdict)
 {
     DispatchService &dispatch = registry.find<DispatchService>();
-    const Result<Assignment> assignment = requestTarget(dispatch, request, &watch);
+    const Request admitted = withUniqueId(request);
+    const Result<Assignment> assignment = requestTarget(dispatch, admitted, &watch);
     if (!assignment) {
         Error error = assignment.error();
         error.verdict = verdict;
@@ -48,7 +49,7 @@
         watch.setCall(nullptr);
     }
     watch.setCall(nullptr);
-    dispatch.finish(request.id, outcomeOf(result.has_value(), watch));
+    dispatch.finish(admitted.id, outcomeOf(result.has_value(), watch));
     return result;
 }
 
--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -52,6 +52,18 @@
            && std::all_of(text.begin(), text.end(), isAllowed);
 }
 
+// A caller that resumes states the offset of the last token that it has.
+Result<TokenCount> readNextOffset(const http::Exchange &exchange, TokenCount maxTokens)
+{
+    const std::string text = exchange.header(http::lastEventIdHeader);
+    Poco::Int64 last = -1;
+    const bool isRead = text.empty() || (Poco::NumberParser::tryParse64(text, last) && last >= 0);
+    if (!isRead || last >= maxTokens)
+        return fail(ErrorId::MalformedRequest, Verdict::NotRun,
+                    "the last event id is not the offset of a token");
+    return last + 1;
+}
+
 /// Counts a request while it is being served.
 class CurrentRequest
 {
@@ -147,7 +159,10 @@
     request->arrival = arrival;
     request->promptTokens = completion->promptTokens;
     request->maxTokens = completion->maxTokens;
-    CompletionRelay relay(m_registry, exchange, *request, *body);
+    const Result<TokenCount> nextOffset = readNextOffset(exchange, completion->maxTokens);
+    if (!nextOffset)
+        return exchange.sendError(nextOffset.error());
+    CompletionRelay relay(m_registry, exchange, *request, *body, *nextOffset);
     relay.run();
 }
 
--- a/apps/entry/event_reader.cpp
+++ b/apps/entry/event_reader.cpp
@@ -11,7 +11,7 @@
 constexpr std::string_view idField = "id: ";
 constexpr std::string_view errorEvent = "event: error";
 constexpr std::string_view finishMark = "\"finish_reason\":\"";
-constexpr std::size_t maxLineBytes = 1U << 20U;
+constexpr std::size_t maxEventBytes = 1U << 20U;
 
 bool startsWith(const std::string &text, std::string_view start)
 {
@@ -25,8 +25,9 @@
     stream::Chunk chunk;
     bool hasOffset = false;
     std::string line;
-    while (std::getline(m_stream, line)) {
-        if (line.size() > maxLineBytes || startsWith(line, errorEvent))
+    while (readLine(line)) {
+        m_hasError = m_hasError || startsWith(line, errorEvent);
+        if (m_hasError || chunk.payload.size() + line.size() > maxEventBytes)
             return std::nullopt;
         if (line.empty()) {
             if (hasOffset)
@@ -46,4 +47,18 @@
     return std::nullopt;
 }
 
+// A line over the bound ends the stream before it fills the memory.
+bool EventReader::readLine(std::string &line)
+{
+    line.clear();
+    for (int c = m_stream.get(); c != std::istream::traits_type::eof(); c = m_stream.get()) {
+        if (c == '\n')
+            return true;
+        line += static_cast<char>(c);
+        if (line.size() > maxEventBytes)
+            return false;
+    }
+    return false;
+}
+
 } // namespace egretmount::entry
--- a/apps/entry/event_reader.h
+++ b/apps/entry/event_reader.h
@@ -18,8 +18,14 @@
     /// @brief The next chunk. @return Nothing when the stream ends, fails or reports an error.
     std::optional<stream::Chunk> next();
 
+    /// @brief True if the target itself has reported an error.
+    bool hasError() const { return m_hasError; }
+
 private:
+    bool readLine(std::string &line);
+
     std::istream &m_stream;
+    bool m_hasError = false;
 };
 
 } // namespace egretmount::entry
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "caller_service.h"
+#include "cancel_service.h"
 #include "config_service.h"
 #include "credit_service.h"
 #include "dispatch_service.h"
@@ -47,6 +48,7 @@
     registry.add(std::make_unique<entry::CreditService>(loop, registry, own));
     registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
     registry.add(std::make_unique<entry::WatchService>(loop));
+    registry.add(std::make_unique<entry::CancelService>());
     registry.add(std::make_unique<entry::TicketService>(loop, registry, own));
     registry.add(std::make_unique<entry::StatusService>(loop, registry, own));
     entry::CallerService &callers =
--- a/apps/entry/once_relay.cpp
+++ b/apps/entry/once_relay.cpp
@@ -106,14 +106,15 @@
     m_registry.find<WatchService>().add(watch);
     DispatchService &dispatch = m_registry.find<DispatchService>();
     Result<CallAnswer> result = fail(ErrorId::TargetFailed, Verdict::NotRun, "");
+    const Request admitted = withUniqueId(m_request);
     for (int attempts = 0; attempts < maxAttempts; ++attempts) {
-        const Result<Assignment> assignment = requestTarget(dispatch, m_request, nullptr);
+        const Result<Assignment> assignment = requestTarget(dispatch, admitted, nullptr);
         if (!assignment)
             return tl::make_unexpected(assignment.error());
         result = executeAt(*assignment, *watch);
         const bool isBlameless = !result && result.error().id != ErrorId::TargetFailed;
         const Outcome failed = isBlameless ? Outcome::Cancelled : Outcome::Failed;
-        dispatch.finish(m_request.id, result ? Outcome::Completed : failed);
+        dispatch.finish(admitted.id, result ? Outcome::Completed : failed);
         const bool isUnsent = !result && result.error().verdict == Verdict::NotRun;
         if (isBlameless || !isUnsent || !dispatch.takeRetry())
             break;
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -6,6 +6,7 @@
 #include <Poco/NumberParser.h>
 #include <glog/logging.h>
 
+#include "cancel_service.h"
 #include "config_service.h"
 #include "event_reader.h"
 #include "http/headers.h"
@@ -21,7 +22,7 @@
 
 namespace {
 
-constexpr Milliseconds cancelTimeout = 500_ms;
+constexpr int maxIdleConnections = 2; // to one target, in a row without a new token
 constexpr TokenCount bytesPerToken = 4;
 constexpr TokenCount defaultMaxTokens = 16;
 constexpr TokenCount highestMaxTokens = 1'000'000;
@@ -52,15 +53,17 @@
 }
 
 CompletionRelay::CompletionRelay(kernel::Registry &registry, http::Exchange &exchange,
-                                 Request request, const std::string &body)
+                                 Request request, const std::string &body, TokenCount nextOffset)
     : m_registry(registry)
     , m_dispatch(registry.find<DispatchService>())
     , m_exchange(exchange)
     , m_request(std::move(request))
+    , m_admitted(withUniqueId(m_request))
     , m_body(body)
     , m_watch(
           std::make_shared<RequestWatch>(m_request.deadline, http::PeerWatch(exchange.request())))
 {
+    m_reassembly.nextOffset = nextOffset;
     registry.find<WatchService>().add(m_watch);
 }
 
@@ -85,7 +88,7 @@
 Result<void> CompletionRelay::attempt()
 {
     ++m_attempts;
-    const Result<Assignment> assignment = requestTarget(m_dispatch, m_request, m_watch.get());
+    const Result<Assignment> assignment = requestTarget(m_dispatch, m_admitted, m_watch.get());
     if (!assignment) {
         Error error = assignment.error();
         error.verdict = m_verdict;
@@ -93,19 +96,48 @@
     }
     m_target = assignment->target;
     Result<void> result = relayFrom(*assignment);
-    const bool isInterrupted = m_watch->interruption() != Interruption::None;
-    if (isInterrupted)
-        cancelAt(assignment->address);
+    const bool isInterrupted = m_watch->interruption() != Interruption::None
+                               || (!result && result.error().id == ErrorId::StreamInterrupted);
     const Outcome failed = isInterrupted ? Outcome::Cancelled : Outcome::Failed;
-    m_dispatch.finish(m_request.id, result ? Outcome::Completed : failed, m_reassembly.nextOffset);
+    release(*assignment, result ? Outcome::Completed : failed);
     return result;
 }
 
+// A connection that has gone silent or broken off is followed by a new one to the same target,
+// where the stream is still running. Before the target's first token silence proves little, as the
+// prompt may be long; so half of the time left is spent on waiting for it.
 Result<void> CompletionRelay::relayFrom(const Assignment &assignment)
+{
+    const TokenCount first = m_reassembly.nextOffset;
+    const Milliseconds start = monotonicNow();
+    const Milliseconds patience = start + (m_request.deadline - start) / 2;
+    int idleConnections = 0;
+    for (;;) {
+        const TokenCount before = m_reassembly.nextOffset;
+        const Milliseconds opened = monotonicNow();
+        Result<void> result = relayConnection(assignment);
+        const bool isOver = m_watch->interruption() != Interruption::None || !m_isResumable;
+        if (result || isOver || result.error().id != ErrorId::TargetFailed)
+            return result;
+        const Milliseconds now = monotonicNow();
+        const bool isWaiting = m_reassembly.nextOffset == first && now < patience
+                               && now - opened >= assignment.silenceTimeout;
+        const bool hasProgressed = m_reassembly.nextOffset > before;
+        idleConnections = hasProgressed || isWaiting ? 0 : idleConnections + 1;
+        if (idleConnections > maxIdleConnections)
+            return result;
+        LOG_EVERY_N(INFO, 20) << "callers: resuming at the same target request="
+                              << m_request.id.value << " offset=" << m_reassembly.nextOffset;
+    }
+}
+
+Result<void> CompletionRelay::relayConnection(const Assignment &assignment)
 {
     const std::shared_ptr<http::ClientCall> call =
         std::make_shared<http::ClientCall>(assignment.address);
     m_watch->setCall(call);
+    m_isResumable = false;
+    stream::resume(m_reassembly);
     Result<void> result;
     try {
         call->connect(connectTimeout, assignment.silenceTimeout);
@@ -117,18 +149,7 @@
             request.set(http::lastEventIdHeader, std::to_string(m_reassembly.nextOffset - 1));
         m_verdict = Verdict::MayHaveRun;
         call->send(request, m_body);
-        HTTPResponse response;
-        std::istream &stream = call->receive(response);
-        routing::LoadReport report;
-        if (http::readLoadReport(response.get(http::loadHeader, ""), report))
-            m_dispatch.noteReport(assignment.target, report);
-        if (response.getStatus() == HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE)
-            result = fail(ErrorId::PromptTooLong, m_verdict, "no target has that much memory");
-        else if (response.getStatus() != HTTPResponse::HTTP_OK)
-            result = fail(ErrorId::TargetFailed, m_verdict, "the target refused the request",
-                          retryAfterFailure);
-        else
-            result = readEvents(stream);
+        result = relayResponse(*call, assignment.target);
     } catch (const Poco::Exception &) {
         result = fail(ErrorId::TargetFailed, m_verdict, "the target failed", retryAfterFailure);
     }
@@ -138,11 +159,27 @@
     return result;
 }
 
+Result<void> CompletionRelay::relayResponse(http::ClientCall &call, const TargetId &target)
+{
+    HTTPResponse response;
+    std::istream &stream = call.receive(response);
+    routing::LoadReport report;
+    if (http::readLoadReport(response.get(http::loadHeader, ""), report))
+        m_dispatch.noteReport(target, report);
+    if (response.getStatus() == HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE)
+        return fail(ErrorId::PromptTooLong, m_verdict, "no target has that much memory");
+    if (response.getStatus() != HTTPResponse::HTTP_OK)
+        return fail(ErrorId::TargetFailed, m_verdict, "the target refused the request",
+                    retryAfterFailure);
+    return readEvents(stream);
+}
+
 Result<void> CompletionRelay::readEvents(std::istream &stream)
 {
     EventReader reader(stream);
     while (!m_reassembly.isComplete) {
         const std::optional<stream::Chunk> chunk = reader.next();
+        m_isResumable = !reader.hasError();
         if (!chunk)
             return fail(ErrorId::TargetFailed, m_verdict, "the target broke off its answer",
                         retryAfterFailure);
@@ -150,6 +187,9 @@
             if (!forward(ready))
                 return fail(ErrorId::StreamInterrupted, m_verdict, "the caller has left");
         }
+        if (m_reassembly.hasOverflowed)
+            return fail(ErrorId::TargetFailed, m_verdict, "the target sent chunks out of bounds",
+                        retryAfterFailure);
     }
     m_verdict = Verdict::Ran;
     return {};
@@ -158,7 +198,7 @@
 bool CompletionRelay::forward(const stream::Chunk &chunk)
 {
     if (!m_out) {
-        m_dispatch.noteFirstToken(m_request.id);
+        m_dispatch.noteFirstToken(m_admitted.id);
         m_exchange.response().set(http::requestIdHeader, m_request.id.value);
         m_exchange.response().set(http::targetHeader, m_target.value);
         m_exchange.response().set(http::verdictHeader, std::string(nameOf(m_verdict)));
@@ -183,16 +223,17 @@
     *m_out << "event: error\ndata: " << http::errorJson(error) << "\n\n" << std::flush;
 }
 
-void CompletionRelay::cancelAt(const std::string &address)
+// The target's capacity counts as held until its cancel is done; the caller does not wait for it.
+void CompletionRelay::release(const Assignment &assignment, Outcome outcome)
 {
-    try {
-        HTTPRequest request(HTTPRequest::HTTP_DELETE, "/v1/streams/" + m_request.id.value,
-                            Poco::Net::HTTPMessage::HTTP_1_1);
-        http::fetch(address, request, {}, cancelTimeout);
-    } catch (const Poco::Exception &) {
-        // The target ends the stream by itself at the request's deadline.
-        LOG_EVERY_N(INFO, 20) << "callers: a cancel was lost request=" << m_request.id.value;
-    }
+    const auto finish = [&dispatch = m_dispatch, id = m_admitted.id, outcome,
+                         generated = m_reassembly.nextOffset] {
+        dispatch.finish(id, outcome, generated);
+    };
+    if (outcome != Outcome::Cancelled)
+        return finish();
+    const std::string owner = ownerText(m_registry.find<PeerService>());
+    m_registry.find<CancelService>().cancel({ assignment.address, m_request.id, owner, finish });
 }
 
 Error CompletionRelay::interruptionError() const
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -30,8 +30,9 @@
 class CompletionRelay
 {
 public:
+    /// @param nextOffset The first token that the caller lacks; above zero where it resumes.
     CompletionRelay(kernel::Registry &registry, http::Exchange &exchange, Request request,
-                    const std::string &body);
+                    const std::string &body, TokenCount nextOffset);
     ~CompletionRelay();
 
     CompletionRelay(const CompletionRelay &) = delete;
@@ -43,16 +44,19 @@
 private:
     Result<void> attempt();
     Result<void> relayFrom(const Assignment &assignment);
+    Result<void> relayConnection(const Assignment &assignment);
+    Result<void> relayResponse(http::ClientCall &call, const TargetId &target);
     Result<void> readEvents(std::istream &stream);
     bool forward(const stream::Chunk &chunk);
     void answerError(const Error &error);
-    void cancelAt(const std::string &address);
+    void release(const Assignment &assignment, Outcome outcome);
     Error interruptionError() const;
 
     kernel::Registry &m_registry;
     DispatchService &m_dispatch;
     http::Exchange &m_exchange;
     Request m_request;
+    Request m_admitted; // as the dispatch service knows it
     const std::string &m_body;
     std::shared_ptr<RequestWatch> m_watch;
     stream::Reassembly m_reassembly;
@@ -60,6 +64,7 @@
     Verdict m_verdict = Verdict::NotRun;
     std::ostream *m_out = nullptr; // set once the head of the answer is sent
     int m_attempts = 0;
+    bool m_isResumable = false; // the target has accepted the request and reported no error
 };
 
 } // namespace egretmount::entry
--- a/apps/entry/request_watch.cpp
+++ b/apps/entry/request_watch.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Milliseconds sweepInterval = 10_ms;
+constexpr Milliseconds answerGrace = 500_ms; // for the write of the deadline's answer
 constexpr int sweepsPerCallerCheck = 10;
 
 } // namespace
@@ -42,13 +43,21 @@
 void RequestWatch::check(Milliseconds now, bool checkCaller)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_isClosed || m_interruption != Interruption::None)
+    if (m_isClosed)
         return;
+    if (m_interruption != Interruption::None) {
+        if (m_caller && now >= m_interruptedAt + answerGrace)
+            m_caller->shutDown();
+        return;
+    }
     if (now >= m_deadline)
         m_interruption = Interruption::DeadlinePassed;
     else if (checkCaller && m_caller && m_caller->isGone())
         m_interruption = Interruption::CallerGone;
-    if (m_call && m_interruption != Interruption::None)
+    if (m_interruption == Interruption::None)
+        return;
+    m_interruptedAt = now;
+    if (m_call)
         m_call->abort();
 }
 
--- a/apps/entry/request_watch.h
+++ b/apps/entry/request_watch.h
@@ -24,7 +24,8 @@
 /// @brief The deadline and the caller of one request, watched from the loop's thread.
 ///
 /// The request's own thread blocks in reads from a target. The watch aborts that call when the
-/// deadline passes or the caller leaves, so that no answer waits on a silent target.
+/// deadline passes or the caller leaves, so that no answer waits on a silent target. A caller that
+/// does not read its answer for some time after the deadline is disconnected.
 class RequestWatch
 {
 public:
@@ -49,6 +50,7 @@
     mutable std::mutex m_mutex;
     std::optional<http::PeerWatch> m_caller; // guarded by m_mutex
     bool m_isClosed = false; // guarded by m_mutex
+    Milliseconds m_interruptedAt; // guarded by m_mutex
     Interruption m_interruption = Interruption::None; // guarded by m_mutex
     std::shared_ptr<http::ClientCall> m_call; // guarded by m_mutex
 };
--- a/apps/entry/target_call.cpp
+++ b/apps/entry/target_call.cpp
@@ -1,5 +1,6 @@
 #include "target_call.h"
 
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <memory>
@@ -18,12 +19,6 @@
 constexpr Milliseconds callerCheckInterval = Milliseconds(50);
 constexpr std::size_t readChunkBytes = 64UL * 1024;
 
-std::string ownerText(const PeerService &peers)
-{
-    const InstanceRun &run = peers.self().run;
-    return run.instance.value + '/' + std::to_string(run.incarnation);
-}
-
 Error targetError(const std::string &detail)
 {
     return { ErrorId::TargetFailed, Verdict::MayHaveRun, detail, retryAfterFailure };
@@ -45,6 +40,12 @@
 
 } // namespace
 
+std::string ownerText(const PeerService &peers)
+{
+    const InstanceRun &run = peers.self().run;
+    return run.instance.value + '/' + std::to_string(run.incarnation);
+}
+
 HTTPRequest makeTargetRequest(const std::string &path, const Request &request,
                               const PeerService &peers)
 {
@@ -58,6 +59,13 @@
     return http;
 }
 
+Request withUniqueId(Request request)
+{
+    static std::atomic<std::uint64_t> count { 0 };
+    request.id.value += '#' + std::to_string(++count); // no caller's id has that sign
+    return request;
+}
+
 Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request,
                                  const RequestWatch *watch)
 {
--- a/apps/entry/target_call.h
+++ b/apps/entry/target_call.h
@@ -27,10 +27,17 @@
 /// @brief Longest answer of a plain service.
 constexpr std::size_t maxAnswerBytes = 16UL << 20U;
 
+/// @brief This run of the instance, as targets know the owner of a request.
+std::string ownerText(const PeerService &peers);
+
 /// @brief A POST to a target with the headers that say whose request it is.
 Poco::Net::HTTPRequest makeTargetRequest(const std::string &path, const Request &request,
                                          const PeerService &peers);
 
+/// @brief The request under an id that no other one at this instance has, as callers may use theirs
+///        twice. For the dispatch service.
+Request withUniqueId(Request request);
+
 /// @brief Waits for the decision on a target; it always comes, by the deadline at the latest.
 /// @param watch A request whose caller leaves meanwhile is withdrawn. Null: nobody is watched.
 Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request,
--- a/apps/standins/target/engine.cpp
+++ b/apps/standins/target/engine.cpp
@@ -50,8 +50,12 @@
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const std::shared_ptr<Stream> &stream : m_streams) {
-        if (stream->request.id == request.id && !stream->isOver()) {
+        const bool isSame = stream->request.id == request.id
+                            && stream->request.promptHash == request.promptHash
+                            && stream->request.maxTokens == request.maxTokens;
+        if (isSame && !stream->isOver()) {
             ++stream->readers;
+            stream->request.owner = request.owner;
             return stream;
         }
     }
@@ -80,11 +84,12 @@
     stream->lastReader = monotonicNow();
 }
 
-void Engine::cancel(const RequestId &id)
+void Engine::cancel(const RequestId &id, const std::string &owner)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const std::shared_ptr<Stream> &stream : m_streams) {
-        if (stream->request.id == id && !stream->isOver())
+        const bool isOwner = owner.empty() || stream->request.owner == owner;
+        if (stream->request.id == id && isOwner && !stream->isOver())
             end(*stream, StreamState::Cancelled);
     }
     m_changed.notify_all();
--- a/apps/standins/target/engine.h
+++ b/apps/standins/target/engine.h
@@ -27,6 +27,7 @@
     std::int64_t coldSlots = 2; ///< More than this many streams while cold: rates collapse.
     TokenCount warmAfterTokens = 0; ///< Prompt tokens to process until warm; 0: warm at once.
     std::int64_t coldSlowdown = 20; ///< Factor by which an overloaded cold engine is slower.
+    TokenCount scrambleTokens = 0; ///< Sent out of order and repeated, so many at a time.
     Milliseconds reportLag; ///< Age of the load that it reports.
     Milliseconds resumeWindow = Milliseconds(3000); ///< A stream without a reader lives so long.
 };
@@ -99,7 +100,8 @@
     void leave(const std::shared_ptr<Stream> &stream);
 
     /// @brief Cancels a stream; unknown ids are ignored.
-    void cancel(const RequestId &id);
+    /// @param owner Empty, or the owner that the stream must have.
+    void cancel(const RequestId &id, const std::string &owner);
 
     /// @brief The load as reported, with its lag.
     routing::LoadReport report() const;
--- a/apps/standins/target/main.cpp
+++ b/apps/standins/target/main.cpp
@@ -65,6 +65,8 @@
               integer("warmAfterTokens", "tokens", "0", "Prompt tokens until it is warm."),
               integer("coldSlowdown", "", "20", "Slowdown of an overloaded cold engine."),
               integer("reportLagMs", "ms", "0", "Age of the load that it reports."),
+              integer("scrambleTokens", "tokens", "0",
+                      "Tokens that are sent in reverse and twice; 0: in order."),
               integer("resumeWindowMs", "ms", "3000", "A stream without reader lives so long."),
           } },
         { "plain",
@@ -93,6 +95,7 @@
     settings.coldSlots = reader.integer("coldSlots");
     settings.warmAfterTokens = reader.integer("warmAfterTokens");
     settings.coldSlowdown = reader.integer("coldSlowdown");
+    settings.scrambleTokens = reader.integer("scrambleTokens");
     settings.reportLag = Milliseconds(reader.integer("reportLagMs"));
     settings.resumeWindow = Milliseconds(reader.integer("resumeWindowMs"));
     return settings;
@@ -194,6 +197,7 @@
 
     EngineService(std::string address, const EngineSettings &settings)
         : m_address(std::move(address))
+        , m_scrambleTokens(settings.scrambleTokens)
         , m_engine(settings)
         , m_server(serverLimits())
     { }
@@ -260,16 +264,16 @@
         TokenCount sent = first;
         const http::PeerWatch caller(exchange.request());
         for (;;) {
-            const Stream now = m_engine.waitFor(stream, sent, waitSlice);
+            const Stream now = m_engine.waitFor(
+                stream, sent + std::max<TokenCount>(m_scrambleTokens, 1) - 1, waitSlice);
             if (caller.isGone() || m_isStopping)
                 return;
             if (m_silence.appliesTo(opened)) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(waitSlice.count()));
                 continue;
             }
-            for (; sent < now.generated; ++sent)
-                writeToken(out, now.request, sent);
-            out << std::flush;
+            writeTokens(out, now.request, sent, now.generated);
+            sent = now.generated;
             if (!out)
                 return;
             if (now.state == StreamState::Finished)
@@ -282,9 +286,22 @@
         }
     }
 
+    // With the scramble fault, tokens that are ready together go out in reverse, each one twice.
+    void writeTokens(std::ostream &out, const StreamRequest &request, TokenCount first,
+                     TokenCount end) const
+    {
+        for (TokenCount index = first; index < end && m_scrambleTokens == 0; ++index)
+            writeToken(out, request, index);
+        for (TokenCount index = end - 1; index >= first && m_scrambleTokens > 0; --index) {
+            writeToken(out, request, index);
+            writeToken(out, request, index);
+        }
+        out << std::flush;
+    }
+
     void cancel(http::Exchange &exchange)
     {
-        m_engine.cancel(RequestId(exchange.rest()));
+        m_engine.cancel(RequestId(exchange.rest()), exchange.header(http::ownerHeader));
         exchange.send(HTTPResponse::HTTP_OK, jsonType, "{}");
     }
 
@@ -326,6 +343,7 @@
     }
 
     std::string m_address;
+    TokenCount m_scrambleTokens;
     Engine m_engine;
     SilenceFault m_silence;
     std::atomic<bool> m_isStopping { false };
--- a/include/egretmount/stream/reassembly.h
+++ b/include/egretmount/stream/reassembly.h
@@ -21,6 +21,7 @@
 {
     TokenCount nextOffset = 0; ///< The next chunk that the caller lacks.
     bool isComplete = false; ///< The last chunk and all before it were handed out.
+    bool hasOverflowed = false; ///< A chunk came too far before its turn: the stream is broken.
     std::map<TokenCount, Chunk> waiting; ///< Chunks that came before their turn, by offset.
 };
 
@@ -31,4 +32,9 @@
 /// @complexity Logarithmic in the number of waiting chunks.
 std::vector<Chunk> accept(Reassembly &state, Chunk chunk);
 
+/// @brief Prepares for the chunks of another connection, which resumes at `nextOffset`.
+///
+/// Chunks that wait are dropped, as another target may generate others in their place.
+void resume(Reassembly &state);
+
 } // namespace egretmount::stream
--- a/src/daemon/http/peer_watch.cpp
+++ b/src/daemon/http/peer_watch.cpp
@@ -23,4 +23,9 @@
     return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+void PeerWatch::shutDown() const
+{
+    ::shutdown(m_descriptor, SHUT_RDWR);
+}
+
 } // namespace egretmount::http
--- a/src/daemon/http/peer_watch.h
+++ b/src/daemon/http/peer_watch.h
@@ -16,6 +16,9 @@
     /// @brief True once the caller has closed the connection. Never waits. Any thread.
     bool isGone() const;
 
+    /// @brief Makes reads from and writes to the caller fail at once. Any thread.
+    void shutDown() const;
+
 private:
     int m_descriptor;
 };
--- a/src/stream/reassembly.cpp
+++ b/src/stream/reassembly.cpp
@@ -6,8 +6,12 @@
 {
     std::vector<Chunk> ready;
     const bool isRepeat = state.isComplete || chunk.offset < state.nextOffset;
-    if (isRepeat || state.waiting.size() >= maxWaitingChunks)
+    if (isRepeat || state.hasOverflowed)
         return ready;
+    if (chunk.offset != state.nextOffset && state.waiting.size() >= maxWaitingChunks) {
+        state.hasOverflowed = true;
+        return ready;
+    }
     state.waiting.emplace(chunk.offset, std::move(chunk));
     auto next = state.waiting.find(state.nextOffset);
     while (next != state.waiting.end()) {
@@ -20,4 +24,10 @@
     return ready;
 }
 
+void resume(Reassembly &state)
+{
+    state.waiting.clear();
+    state.hasOverflowed = false;
+}
+
 } // namespace egretmount::stream
--- /dev/null
+++ b/tests/parts/stream_reassembly_test.cpp
@@ -0,0 +1,75 @@
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include <egretmount/core/random.h>
+#include <egretmount/stream/reassembly.h>
+
+using namespace egretmount;
+using namespace egretmount::stream;
+
+namespace {
+
+constexpr TokenCount length = 50;
+
+// A broken form for the check: it hands chunks out as they come.
+std::vector<Chunk> acceptUnordered(Reassembly &state, const Chunk &chunk)
+{
+    state.isComplete = state.isComplete || chunk.isLast;
+    return { chunk };
+}
+
+// Chunks come late, repeated and out of order, and some are lost until another connection resumes.
+template<typename Accept>
+bool isWholeAndOrdered(std::uint64_t seed, Accept acceptChunk)
+{
+    Random random(seed);
+    Reassembly state;
+    std::vector<TokenCount> out;
+    for (int connection = 0; connection < 60 && !state.isComplete; ++connection) {
+        resume(state);
+        std::vector<TokenCount> offsets;
+        for (TokenCount i = state.nextOffset; i < length; ++i) {
+            for (std::uint64_t copies = random.below(4); copies > 0; --copies)
+                offsets.push_back(i);
+        }
+        for (std::size_t i = offsets.size(); i > 1; --i)
+            std::swap(offsets[i - 1], offsets[random.below(i)]);
+        for (const TokenCount offset : offsets) {
+            for (const Chunk &ready :
+                 acceptChunk(state, Chunk { offset, "", offset == length - 1 }))
+                out.push_back(ready.offset);
+        }
+    }
+    for (std::size_t i = 0; i < out.size(); ++i) {
+        if (out[i] != static_cast<TokenCount>(i))
+            return false;
+    }
+    return out.size() == static_cast<std::size_t>(length);
+}
+
+} // namespace
+
+TEST_CASE("an answer is whole and in order in every schedule of its chunks")
+{
+    int broken = 0;
+    for (std::uint64_t seed = 1; seed <= 2'000; ++seed) {
+        CHECK(isWholeAndOrdered(seed, accept));
+        broken += isWholeAndOrdered(seed, acceptUnordered) ? 0 : 1;
+    }
+    CHECK(broken > 0);
+}
+
+TEST_CASE("a stream that needs too many chunks out of order fails loudly")
+{
+    Reassembly state;
+    const TokenCount limit = static_cast<TokenCount>(maxWaitingChunks);
+    for (TokenCount i = 1; i <= limit; ++i)
+        accept(state, { i, "", false });
+    CHECK(!state.hasOverflowed);
+    Reassembly full = state;
+    accept(full, { limit + 1, "", false });
+    CHECK(full.hasOverflowed);
+    // The chunk in turn is taken however many wait.
+    CHECK(accept(state, { 0, "", false }).size() == maxWaitingChunks + 1);
+}
