--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -56,6 +56,18 @@
            && std::all_of(text.begin(), text.end(), isAllowed);
 }
 
+// A caller that resumes states the offset of the last token that it has.
+Result<TokenCount> readNextOffset(const http::Exchange &exchange, TokenCount maxTokens)
+{
+    const std::string text = exchange.header(http::lastEventIdHeader);
+    Poco::Int64 last = -1;
+    const bool isRead = text.empty() || (Poco::NumberParser::tryParse64(text, last) && last >= 0);
+    if (!isRead || last >= maxTokens)
+        return fail(ErrorId::MalformedRequest, Verdict::NotRun,
+                    "the last event id is not the offset of a token");
+    return last + 1;
+}
+
 /// Counts a request while it is being served; one that will be refused is not counted.
 class CurrentRequest
 {
@@ -156,9 +168,12 @@
     request->promptBytes = completion->promptBytes;
     request->promptTokens = m_registry.find<DispatchService>().estimateTokens(*request);
     request->maxTokens = completion->maxTokens;
+    const Result<TokenCount> nextOffset = readNextOffset(exchange, completion->maxTokens);
+    if (!nextOffset)
+        return exchange.sendError(nextOffset.error());
     if (m_registry.find<DispatchService>().needsSpan(*request))
-        return SpanRelay(m_registry, exchange, *request, *body).run();
-    CompletionRelay relay(m_registry, exchange, *request, *body);
+        return SpanRelay(m_registry, exchange, *request, *body, *nextOffset).run();
+    CompletionRelay relay(m_registry, exchange, *request, *body, *nextOffset);
     relay.run();
 }
 
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -48,8 +48,10 @@
 class CompletionRelay
 {
 public:
+    /// @param nextOffset The first token that the caller lacks; above zero where it resumes.
     CompletionRelay(kernel::Registry &registry, http::Exchange &exchange, Request request,
-                    const std::string &body, const CompletionSource *source = nullptr);
+                    const std::string &body, TokenCount nextOffset,
+                    const CompletionSource *source = nullptr);
     ~CompletionRelay();
 
     CompletionRelay(const CompletionRelay &) = delete;
@@ -63,11 +65,13 @@
 private:
     Result<void> attempt();
     Result<void> relayFrom(const Assignment &assignment);
+    Result<void> relayConnection(const Assignment &assignment);
+    Result<void> relayResponse(http::ClientCall &call, const TargetId &target);
     Result<void> readEvents(std::istream &stream);
     bool forward(const stream::Chunk &chunk);
     void noteUsage(const stream::Chunk &last);
     void answerError(const Error &error);
-    void cancelAt(const std::string &address);
+    void release(const Assignment &assignment, Outcome outcome);
     Error interruptionError() const;
     const RequestId &callerId() const { return m_source ? m_source->callerId : m_request.id; }
 
@@ -76,6 +80,7 @@
     http::Exchange &m_exchange;
     Request m_request;
     RequestTrace m_trace;
+    Request m_admitted; // as the dispatch service knows it
     const std::string &m_body;
     const CompletionSource *m_source; // null: the queue and the caller's body
     std::shared_ptr<RequestWatch> m_watch;
@@ -84,6 +89,7 @@
     Verdict m_verdict = Verdict::NotRun;
     std::ostream *m_out = nullptr; // set once the head of the answer is sent
     int m_attempts = 0;
+    bool m_isResumable = false; // the target has accepted the request and reported no error
 };
 
 } // namespace egretmount::entry
--- a/apps/entry/span_part.cpp
+++ b/apps/entry/span_part.cpp
@@ -8,6 +8,7 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPResponse.h>
 
+#include "http/headers.h"
 #include "target_call.h"
 
 namespace egretmount::entry {
@@ -99,11 +100,12 @@
     }
 }
 
-void cancelPart(const std::string &address, const RequestId &part)
+void cancelPart(const std::string &address, const RequestId &part, const std::string &owner)
 {
     try {
         HTTPRequest request(HTTPRequest::HTTP_DELETE, "/v1/streams/" + part.value,
                             Poco::Net::HTTPMessage::HTTP_1_1);
+        request.set(http::ownerHeader, owner);
         http::fetch(address, request, {}, shortCallTimeout);
     } catch (const Poco::Exception &) {
         // A part that nobody reads expires at its engine.
--- a/apps/entry/span_relay.cpp
+++ b/apps/entry/span_relay.cpp
@@ -64,15 +64,15 @@
 } // namespace
 
 SpanRelay::SpanRelay(kernel::Registry &registry, http::Exchange &exchange, const Request &request,
-                     const std::string &body)
+                     const std::string &body, TokenCount nextOffset)
     : m_registry(registry)
     , m_dispatch(registry.find<DispatchService>())
-    , m_request(request)
+    , m_request(withUniqueId(request))
     , m_prompt(promptOf(body))
     , m_source { [this] { return acquire(); },
                  [this](HTTPRequest &http) -> const std::string & { return prepareLast(http); },
                  [this] { return isLastToBlame(); }, request.id }
-    , m_relay(registry, exchange, lastRequest(request), m_lastBody, &m_source)
+    , m_relay(registry, exchange, lastRequest(m_request), m_lastBody, nextOffset, &m_source)
 { }
 
 SpanRelay::~SpanRelay()
@@ -217,7 +217,7 @@
     if (!part.isReserved)
         return;
     if (m_isSent)
-        cancelPart(part.address, part.request.id);
+        cancelPart(part.address, part.request.id, ownerText(m_registry.find<PeerService>()));
     m_dispatch.finish(part.request.id, outcome);
     part.isReserved = false;
     part.isPrefilled = false;
--- a/apps/entry/span_relay.h
+++ b/apps/entry/span_relay.h
@@ -18,8 +18,9 @@
 {
 public:
     /// @param body JSON body of the caller's request.
+    /// @param nextOffset The first token that the caller lacks.
     SpanRelay(kernel::Registry &registry, http::Exchange &exchange, const Request &request,
-              const std::string &body);
+              const std::string &body, TokenCount nextOffset);
     ~SpanRelay();
 
     SpanRelay(const SpanRelay &) = delete;
--- a/apps/standins/target/main.cpp
+++ b/apps/standins/target/main.cpp
@@ -67,6 +67,8 @@
               integer("warmAfterTokens", "tokens", "0", "Prompt tokens until it is warm."),
               integer("coldSlowdown", "", "20", "Slowdown of an overloaded cold engine."),
               integer("reportLagMs", "ms", "0", "Age of the load that it reports."),
+              integer("scrambleTokens", "tokens", "0",
+                      "Tokens that are sent in reverse and twice; 0: in order."),
               integer("resumeWindowMs", "ms", "3000", "A stream without reader lives so long."),
               { "checksFence", ValueKind::Choice, "", "no", 0, 0, "yes|no", false,
                 "Refuses orders with an old fence." },
@@ -99,6 +101,7 @@
     settings.coldSlots = reader.integer("coldSlots");
     settings.warmAfterTokens = reader.integer("warmAfterTokens");
     settings.coldSlowdown = reader.integer("coldSlowdown");
+    settings.scrambleTokens = reader.integer("scrambleTokens");
     settings.reportLag = Milliseconds(reader.integer("reportLagMs"));
     settings.resumeWindow = Milliseconds(reader.integer("resumeWindowMs"));
     return settings;
@@ -213,6 +216,7 @@
     EngineService(std::string address, const EngineSettings &settings,
                   const OrderSettings &orderSettings)
         : m_address(std::move(address))
+        , m_scrambleTokens(settings.scrambleTokens)
         , m_engine(settings)
         , m_orders(orderSettings, [this] { return m_engine.report().usedSlots > 0; })
         , m_server(serverLimits())
@@ -280,7 +284,8 @@
         const http::PeerWatch caller(exchange.request());
         PartsBefore before(exchange.header(http::kvPartsHeader));
         for (;;) {
-            const Stream now = m_engine.waitFor(stream, sent, waitSlice);
+            const Stream now = m_engine.waitFor(
+                stream, sent + std::max<TokenCount>(m_scrambleTokens, 1) - 1, waitSlice);
             if (caller.isGone() || m_isStopping)
                 return;
             if (m_silence.appliesTo(opened)) {
@@ -291,9 +296,8 @@
                 m_engine.suspend(stream);
                 return sendInterruption(out);
             }
-            for (; sent < now.generated; ++sent)
-                writeToken(out, now.request, sent);
-            out << std::flush;
+            writeTokens(out, now.request, sent, now.generated);
+            sent = now.generated;
             if (!out)
                 return;
             if (now.state == StreamState::Finished)
@@ -309,9 +313,22 @@
             << std::flush;
     }
 
+    // With the scramble fault, tokens that are ready together go out in reverse, each one twice.
+    void writeTokens(std::ostream &out, const StreamRequest &request, TokenCount first,
+                     TokenCount end) const
+    {
+        for (TokenCount index = first; index < end && m_scrambleTokens == 0; ++index)
+            writeToken(out, request, index);
+        for (TokenCount index = end - 1; index >= first && m_scrambleTokens > 0; --index) {
+            writeToken(out, request, index);
+            writeToken(out, request, index);
+        }
+        out << std::flush;
+    }
+
     void cancel(http::Exchange &exchange)
     {
-        m_engine.cancel(RequestId(exchange.rest()));
+        m_engine.cancel(RequestId(exchange.rest()), exchange.header(http::ownerHeader));
         exchange.send(HTTPResponse::HTTP_OK, jsonType, "{}");
     }
 
@@ -353,6 +370,7 @@
     }
 
     std::string m_address;
+    TokenCount m_scrambleTokens;
     Engine m_engine;
     Orders m_orders;
     SilenceFault m_silence;
