--- a/apps/entry/credit_calls.cpp
+++ b/apps/entry/credit_calls.cpp
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr auto answerTimeout = 150 * kj::MILLISECONDS;
+// After a refusal, so that blocked requests do not ask all the time.
+constexpr Milliseconds refusalPause = 40_ms;
+// The dispatcher takes shares anew within this time, so it stops before the lease ends.
+constexpr Milliseconds leaseSlack = 100_ms;
 
 } // namespace
 
@@ -56,9 +60,13 @@
     const auto waiting = m_waiting.find(step.request);
     if (waiting == m_waiting.end())
         return;
-    const std::function<void(bool)> granted = std::move(waiting->second);
+    const Waiting ended = std::move(waiting->second);
     m_waiting.erase(waiting);
-    granted(step.state == credit::GatherState::Complete);
+    const bool isComplete = step.state == credit::GatherState::Complete;
+    m_changed.insert(ended.target);
+    if (!isComplete)
+        m_refusedUntil[ended.target] = monotonicNow() + refusalPause;
+    ended.granted(isComplete);
 }
 
 void CreditService::ask(const InstanceId &lender, const credit::CreditRequest &request)
@@ -124,6 +132,7 @@
                                                     Milliseconds(request.getHoldMs()),
                                                     request.getWantsCold() },
                                                   monotonicNow());
+    m_changed.insert(TargetId(request.getTarget().cStr()));
     grant.setNumber(lent.number);
     grant.setIsGranted(lent.isGranted);
     grant.setTokens(lent.amount.tokens);
@@ -183,7 +192,8 @@
     const std::vector<InstanceId> awaited = credit::findLease(m_leases, target)->awaited;
     for (const InstanceId &granter : awaited)
         sendLeaseRequest(granter, request);
-    credit::setLease(m_escrow, target, credit::findLease(m_leases, target)->heldUntil, now);
+    credit::setLease(m_escrow, target, credit::findLease(m_leases, target)->heldUntil - leaseSlack,
+                     now);
 }
 
 bool CreditService::isFirstCandidate(const TargetId &target) const
@@ -203,6 +213,7 @@
     const credit::TargetLease *lease = credit::findLease(m_leases, target);
     if (!lease || (lease->round == 0 && now >= lease->heldUntil))
         return;
+    m_changed.insert(target);
     const std::vector<InstanceId> candidates = lease->candidates;
     credit::setLease(m_escrow, target, now, now);
     const credit::LeaseRequest request = credit::giveUpLease(m_leases, target, now);
@@ -233,7 +244,8 @@
                                        now);
                 if (credit::holdsLease(m_leases, target, now))
                     credit::setLease(m_escrow, target,
-                                     credit::findLease(m_leases, target)->heldUntil, now);
+                                     credit::findLease(m_leases, target)->heldUntil - leaseSlack,
+                                     now);
             },
             [](kj::Exception &&) { /* the next round asks again */ }));
     }
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -96,9 +96,11 @@
     bool takeTeamTokens(const Request &request, const config::Team *team);
     void returnTeamTokens(const RequestId &id);
     void carryOut(const routing::Decisions &decisions);
-    void take(const routing::Assigned &assigned);
+    bool take(const routing::Assigned &assigned);
     bool reserveNow(const Request &request, const TargetId &target, const Decided &decided);
     void refreshShares();
+    void refreshChangedShares();
+    void refreshShare(const TargetId &target);
     void borrowForBlocked();
     void borrow(const routing::BlockedRequest &blocked);
     void answer(const RequestId &id, Result<Assignment> result);
--- a/include/egretmount/credit/lending.h
+++ b/include/egretmount/credit/lending.h
@@ -25,6 +25,7 @@
 
 /// @brief Lends what is free, up to what is wanted. The capacity counts as lent from now on.
 ///
+/// Tokens without the slot that is wanted too are not lent.
 /// A repeated request gets the same grant again. One that was given back is refused.
 CreditGrant lend(EscrowState &state, const CreditRequest &request, Milliseconds now);
 
@@ -61,6 +62,10 @@
 GatherStep noteGrant(EscrowState &state, const InstanceId &lender, const CreditGrant &grant,
                      Milliseconds now);
 
+/// @brief Ends a gathering early, as the request got capacity elsewhere or has ended.
+/// @return A failed step with the loans to give back.
+GatherStep cancelGathering(EscrowState &state, const RequestId &request);
+
 /// @brief Gives an ask up: no answer came. A late grant is returned.
 GatherStep noteNoAnswer(EscrowState &state, std::uint64_t number, Milliseconds now);
 
