--- a/apps/entry/call_relay.cpp
+++ b/apps/entry/call_relay.cpp
@@ -66,7 +66,8 @@
         attempt(registry, request, exchange.rest(), body, *watch, verdict);
     for (int attempts = 1;
          attempts < maxAttempts && !result && result.error().id == ErrorId::TargetFailed
-         && watch->interruption() == Interruption::None;
+         && watch->interruption() == Interruption::None
+         && registry.find<DispatchService>().takeRetry();
          ++attempts)
         result = attempt(registry, request, exchange.rest(), body, *watch, verdict);
     watch->close();
--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -8,10 +8,13 @@
 
 #include "call_relay.h"
 #include "config_service.h"
+#include "credit_service.h"
 #include "http/headers.h"
+#include "metrics_service.h"
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
+#include "span_relay.h"
 #include "status_service.h"
 #include "ticket_service.h"
 
@@ -64,21 +67,23 @@
     return last + 1;
 }
 
-/// Counts a request while it is being served.
+/// Counts a request while it is being served; one that will be refused is not counted.
 class CurrentRequest
 {
 public:
-    explicit CurrentRequest(std::atomic<int> &count)
+    CurrentRequest(std::atomic<int> &count, bool isCounted)
         : m_count(count)
+        , m_share(isCounted ? 1 : 0)
     {
-        ++m_count;
+        m_count += m_share;
     }
-    ~CurrentRequest() { --m_count; }
+    ~CurrentRequest() { m_count -= m_share; }
     CurrentRequest(const CurrentRequest &) = delete;
     CurrentRequest &operator=(const CurrentRequest &) = delete;
 
 private:
     std::atomic<int> &m_count;
+    int m_share;
 };
 
 http::ServerLimits limitsFrom(const EntrySettings &settings)
@@ -109,6 +114,7 @@
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
     });
     m_registry.find<StatusService>().addRoutes(m_server);
+    m_registry.find<MetricsService>().addRoutes(m_server);
     m_server.start(m_settings.httpAddress);
     LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
 }
@@ -145,7 +151,8 @@
 
 void CallerService::complete(http::Exchange &exchange)
 {
-    const CurrentRequest current(m_current);
+    const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, true);
     const Milliseconds arrival = monotonicNow();
     const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
     if (!body)
@@ -162,13 +169,16 @@
     const Result<TokenCount> nextOffset = readNextOffset(exchange, completion->maxTokens);
     if (!nextOffset)
         return exchange.sendError(nextOffset.error());
-    CompletionRelay relay(m_registry, exchange, *request, *body, *nextOffset);
+    if (m_registry.find<DispatchService>().needsSpan(*request))
+        return SpanRelay(m_registry, exchange, *request, *body).run();
+    CompletionRelay relay(m_registry, exchange, *request, *body, nullptr, *nextOffset);
     relay.run();
 }
 
 void CallerService::call(http::Exchange &exchange)
 {
-    const CurrentRequest current(m_current);
+    const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, false);
     std::string body;
     const Result<Request> request = makeCallRequest(exchange, body);
     if (!request) {
@@ -199,7 +209,7 @@
 
 void CallerService::issueTicket(http::Exchange &exchange)
 {
-    const CurrentRequest current(m_current);
+    const CurrentRequest current(m_current, !m_isRefusing);
     const ServiceId service(exchange.rest());
     const Result<Request> request = makeRequest(exchange, service);
     if (!request)
@@ -227,8 +237,10 @@
         m_registry.find<ConfigService>().document();
     const bool isDraining =
         m_loop.call([this] { return m_registry.find<PeerService>().isDraining(); });
+    const bool isSettled =
+        m_loop.call([this] { return m_registry.find<CreditService>().isSettled(); });
     Poco::JSON::Object answer;
-    const bool isReady = document && !isDraining;
+    const bool isReady = document && !isDraining && isSettled;
     answer.set("ready", isReady);
     answer.set("config_version", document ? document->version : 0);
     exchange.send(isReady ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
@@ -237,6 +249,9 @@
 
 Result<Request> CallerService::makeRequest(http::Exchange &exchange, const ServiceId &service) const
 {
+    if (m_isRefusing)
+        return fail(ErrorId::ShuttingDown, Verdict::NotRun, "this instance leaves; locate another",
+                    notReadyRetryAfter);
     const std::shared_ptr<const config::FleetDocument> document =
         m_registry.find<ConfigService>().document();
     if (!document)
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -51,6 +51,12 @@
               { "drainSlackMs", ValueKind::Integer, "ms", "1000", 0, highestMilliseconds, "", false,
                 "Time added to locateMaxAgeMs before a leaving instance closes." },
           } },
+        { "policy",
+          false,
+          {
+              { "lanes", ValueKind::Choice, "", "elastic", 0, 0, "elastic|static|priority|fifo",
+                false, "How short and long prompts share the targets of a service." },
+          } },
         { "tickets",
           false,
           {
@@ -59,11 +65,13 @@
               { "witness", ValueKind::Choice, "", "yes", 0, 0, "yes|no", false,
                 "Whether a peer must permit such a call before it is sent." },
           } },
-        { "policy",
+        { "credit",
           false,
           {
-              { "lanes", ValueKind::Choice, "", "elastic", 0, 0, "elastic|static|priority|fifo",
-                false, "How short and long prompts share the targets of a service." },
+              { "listLagMs", ValueKind::Integer, "ms", "700", 1, highestMilliseconds, "", false,
+                "Longest time until a new instance list is known at every instance." },
+              { "reportLagMs", ValueKind::Integer, "ms", "400", 1, highestMilliseconds, "", false,
+                "Greatest age of a target's load report when it arrives." },
           } },
     };
 }
@@ -93,11 +101,14 @@
     read.maxDeadline = Milliseconds(limits.integer("maxDeadlineMs"));
     read.locateMaxAge = Milliseconds(limits.integer("locateMaxAgeMs"));
     read.drainSlack = Milliseconds(limits.integer("drainSlackMs"));
+    read.lanePolicy = valueNamed<routing::LanePolicy>(settings.section("policy").text("lanes"))
+                          .value_or(routing::LanePolicy::Elastic);
     const config::SectionReader tickets = settings.section("tickets");
     read.ticketLifetime = Milliseconds(tickets.integer("lifetimeMs"));
     read.usesWitness = tickets.text("witness") == "yes";
-    read.lanePolicy = valueNamed<routing::LanePolicy>(settings.section("policy").text("lanes"))
-                          .value_or(routing::LanePolicy::Elastic);
+    const config::SectionReader credit = settings.section("credit");
+    read.listLag = Milliseconds(credit.integer("listLagMs"));
+    read.reportLag = Milliseconds(credit.integer("reportLagMs"));
     return read;
 }
 
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -27,9 +27,11 @@
     Milliseconds maxDeadline;
     Milliseconds locateMaxAge;
     Milliseconds drainSlack;
+    routing::LanePolicy lanePolicy = routing::LanePolicy::Elastic;
     Milliseconds ticketLifetime;
     bool usesWitness = true;
-    routing::LanePolicy lanePolicy = routing::LanePolicy::Elastic;
+    Milliseconds listLag; ///< Two instances have one list within this time.
+    Milliseconds reportLag; ///< Greatest age of a target's report when it arrives.
 };
 
 /// @brief Specification of the settings.
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -53,13 +53,16 @@
 }
 
 CompletionRelay::CompletionRelay(kernel::Registry &registry, http::Exchange &exchange,
-                                 Request request, const std::string &body, TokenCount nextOffset)
+                                 Request request, const std::string &body,
+                                 const CompletionSource *source, TokenCount nextOffset)
     : m_registry(registry)
     , m_dispatch(registry.find<DispatchService>())
     , m_exchange(exchange)
     , m_request(std::move(request))
-    , m_admitted(withUniqueId(m_request))
+    , m_admitted(source ? m_request : withUniqueId(m_request))
+    , m_trace(registry, m_request)
     , m_body(body)
+    , m_source(source)
     , m_watch(
           std::make_shared<RequestWatch>(m_request.deadline, http::PeerWatch(exchange.request())))
 {
@@ -81,6 +84,8 @@
                   << " offset=" << m_reassembly.nextOffset;
         result = attempt();
     }
+    const bool isCallerGone = m_watch->interruption() == Interruption::CallerGone;
+    m_trace.finish(m_verdict, result ? nullptr : &result.error(), m_out || isCallerGone);
     if (!result)
         answerError(result.error());
 }
@@ -88,16 +93,21 @@
 Result<void> CompletionRelay::attempt()
 {
     ++m_attempts;
-    const Result<Assignment> assignment = requestTarget(m_dispatch, m_admitted, m_watch.get());
+    const Result<Assignment> assignment =
+        m_source ? m_source->acquire() : requestTarget(m_dispatch, m_admitted, m_watch.get());
     if (!assignment) {
         Error error = assignment.error();
         error.verdict = m_verdict;
         return tl::make_unexpected(error);
     }
+    m_trace.noteAssigned();
     m_target = assignment->target;
     Result<void> result = relayFrom(*assignment);
     const bool isInterrupted = m_watch->interruption() != Interruption::None
                                || (!result && result.error().id == ErrorId::StreamInterrupted);
+    const bool isKept = !result && !isInterrupted && m_source && !m_source->isTargetToBlame();
+    if (isKept)
+        return result;
     const Outcome failed = isInterrupted ? Outcome::Cancelled : Outcome::Failed;
     release(*assignment, result ? Outcome::Completed : failed);
     return result;
@@ -148,7 +158,8 @@
         if (m_reassembly.nextOffset > 0)
             request.set(http::lastEventIdHeader, std::to_string(m_reassembly.nextOffset - 1));
         m_verdict = Verdict::MayHaveRun;
-        call->send(request, m_body);
+        const std::string &body = m_source ? m_source->prepare(request) : m_body;
+        call->send(request, body);
         result = relayResponse(*call, assignment.target);
     } catch (const Poco::Exception &) {
         result = fail(ErrorId::TargetFailed, m_verdict, "the target failed", retryAfterFailure);
@@ -199,11 +210,13 @@
 {
     if (!m_out) {
         m_dispatch.noteFirstToken(m_admitted.id);
-        m_exchange.response().set(http::requestIdHeader, m_request.id.value);
+        m_exchange.response().set(http::requestIdHeader, callerId().value);
         m_exchange.response().set(http::targetHeader, m_target.value);
         m_exchange.response().set(http::verdictHeader, std::string(nameOf(m_verdict)));
         m_out = &m_exchange.startEvents();
     }
+    if (!chunk.isLast)
+        m_trace.noteToken();
     *m_out << "id: " << chunk.offset << '\n' << chunk.payload << '\n';
     if (chunk.isLast)
         *m_out << "event: verdict\ndata: {\"verdict\":\"ran\"}\n\ndata: [DONE]\n\n";
@@ -217,7 +230,7 @@
         LOG_EVERY_N(INFO, 20) << "callers: the caller has left request=" << m_request.id.value;
         return;
     }
-    m_exchange.response().set(http::requestIdHeader, m_request.id.value);
+    m_exchange.response().set(http::requestIdHeader, callerId().value);
     if (!m_out)
         return m_exchange.sendError(error);
     *m_out << "event: error\ndata: " << http::errorJson(error) << "\n\n" << std::flush;
--- a/apps/entry/target_call.cpp
+++ b/apps/entry/target_call.cpp
@@ -11,12 +11,13 @@
 
 namespace egretmount::entry {
 
+using namespace literals;
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
 namespace {
 
-constexpr Milliseconds callerCheckInterval = Milliseconds(50);
+constexpr Milliseconds callerCheckInterval = 50_ms;
 constexpr std::size_t readChunkBytes = 64UL * 1024;
 
 Error targetError(const std::string &detail)
--- a/apps/entry/target_call.h
+++ b/apps/entry/target_call.h
@@ -39,9 +39,9 @@
 Request withUniqueId(Request request);
 
 /// @brief Waits for the decision on a target; it always comes, by the deadline at the latest.
-/// @param watch A request whose caller leaves meanwhile is withdrawn. Null: nobody is watched.
+/// @param watch A request whose caller leaves meanwhile is withdrawn; null: it waits on.
 Result<Assignment> requestTarget(DispatchService &dispatch, const Request &request,
-                                 const RequestWatch *watch);
+                                 const RequestWatch *watch = nullptr);
 
 /// @brief The error of a request whose deadline has passed.
 Error deadlineError(Verdict verdict);
