--- /dev/null
+++ b/tests/fuzz/ticket_fuzz.cpp
@@ -0,0 +1,42 @@
+// Tickets from callers that send anything, and tickets whose names are anything, read back.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include <egretmount/runonce/ticket.h>
+
+using namespace egretmount;
+
+namespace {
+
+constexpr std::string_view key = "fuzz key";
+
+runonce::Ticket ticketFrom(std::string_view text)
+{
+    runonce::Ticket ticket;
+    const std::size_t third = text.size() / 3;
+    ticket.issuer = { InstanceId(std::string(text.substr(0, third))), text.size() };
+    ticket.sequence = text.size();
+    ticket.team = TeamId(std::string(text.substr(third, third)));
+    ticket.service = ServiceId(std::string(text.substr(2 * third)));
+    return ticket;
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view text(reinterpret_cast<const char *>(data), size);
+    if (runonce::decodeTicket(text, key))
+        std::abort(); // a forged ticket was accepted
+    const runonce::Ticket ticket = ticketFrom(text);
+    const std::string written = runonce::encodeTicket(ticket, key);
+    const Result<runonce::Ticket> read = runonce::decodeTicket(written, key);
+    const bool isSame = read && read->issuer == ticket.issuer && read->team == ticket.team
+                        && read->service == ticket.service;
+    if (written.size() <= runonce::maxTicketBytes && !isSame)
+        std::abort();
+    return 0;
+}
