--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -9,7 +9,9 @@
 #include "call_relay.h"
 #include "config_service.h"
 #include "credit_service.h"
+#include "dispatch_service.h"
 #include "http/headers.h"
+#include "metrics_service.h"
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
@@ -101,6 +103,7 @@
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
     });
     m_registry.find<StatusService>().addRoutes(m_server);
+    m_registry.find<MetricsService>().addRoutes(m_server);
     m_server.start(m_settings.httpAddress);
     LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
 }
@@ -138,6 +141,7 @@
 void CallerService::complete(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, true);
     const Milliseconds arrival = monotonicNow();
     const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
     if (!body)
@@ -149,7 +153,8 @@
     if (!request)
         return exchange.sendError(request.error());
     request->arrival = arrival;
-    request->promptTokens = completion->promptTokens;
+    request->promptBytes = completion->promptBytes;
+    request->promptTokens = m_registry.find<DispatchService>().estimateTokens(*request);
     request->maxTokens = completion->maxTokens;
     if (m_registry.find<DispatchService>().needsSpan(*request))
         return SpanRelay(m_registry, exchange, *request, *body).run();
@@ -160,6 +165,7 @@
 void CallerService::call(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, false);
     std::string body;
     const Result<Request> request = makeCallRequest(exchange, body);
     if (!request) {
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -11,6 +11,7 @@
 #include "dispatch_service.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "request_trace.h"
 #include "request_watch.h"
 
 namespace egretmount::entry {
@@ -19,7 +20,7 @@
 struct CompletionBody
 {
     ServiceId service; ///< The `model` of the request names a service.
-    TokenCount promptTokens = 0; ///< Estimated from the length of the prompt.
+    std::int64_t promptBytes = 0;
     TokenCount maxTokens = 0;
 };
 
@@ -64,6 +65,7 @@
     Result<void> relayFrom(const Assignment &assignment);
     Result<void> readEvents(std::istream &stream);
     bool forward(const stream::Chunk &chunk);
+    void noteUsage(const stream::Chunk &last);
     void answerError(const Error &error);
     void cancelAt(const std::string &address);
     Error interruptionError() const;
@@ -73,6 +75,7 @@
     DispatchService &m_dispatch;
     http::Exchange &m_exchange;
     Request m_request;
+    RequestTrace m_trace;
     const std::string &m_body;
     const CompletionSource *m_source; // null: the queue and the caller's body
     std::shared_ptr<RequestWatch> m_watch;
