--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -8,11 +8,13 @@
 
 #include "call_relay.h"
 #include "config_service.h"
+#include "credit_service.h"
 #include "dispatch_service.h"
 #include "http/headers.h"
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
+#include "span_relay.h"
 #include "status_service.h"
 #include "ticket_service.h"
 
@@ -53,21 +55,23 @@
            && std::all_of(text.begin(), text.end(), isAllowed);
 }
 
-/// Counts a request while it is being served.
+/// Counts a request while it is being served; one that will be refused is not counted.
 class CurrentRequest
 {
 public:
-    explicit CurrentRequest(std::atomic<int> &count)
+    CurrentRequest(std::atomic<int> &count, bool isCounted)
         : m_count(count)
+        , m_share(isCounted ? 1 : 0)
     {
-        ++m_count;
+        m_count += m_share;
     }
-    ~CurrentRequest() { --m_count; }
+    ~CurrentRequest() { m_count -= m_share; }
     CurrentRequest(const CurrentRequest &) = delete;
     CurrentRequest &operator=(const CurrentRequest &) = delete;
 
 private:
     std::atomic<int> &m_count;
+    int m_share;
 };
 
 http::ServerLimits limitsFrom(const EntrySettings &settings)
@@ -134,7 +138,7 @@
 
 void CallerService::complete(http::Exchange &exchange)
 {
-    const CurrentRequest current(m_current);
+    const CurrentRequest current(m_current, !m_isRefusing);
     const Milliseconds arrival = monotonicNow();
     const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
     if (!body)
@@ -149,13 +153,15 @@
     request->promptBytes = completion->promptBytes;
     request->promptTokens = m_registry.find<DispatchService>().estimateTokens(*request);
     request->maxTokens = completion->maxTokens;
+    if (m_registry.find<DispatchService>().needsSpan(*request))
+        return SpanRelay(m_registry, exchange, *request, *body).run();
     CompletionRelay relay(m_registry, exchange, *request, *body);
     relay.run();
 }
 
 void CallerService::call(http::Exchange &exchange)
 {
-    const CurrentRequest current(m_current);
+    const CurrentRequest current(m_current, !m_isRefusing);
     std::string body;
     const Result<Request> request = makeCallRequest(exchange, body);
     if (!request) {
@@ -186,7 +192,7 @@
 
 void CallerService::issueTicket(http::Exchange &exchange)
 {
-    const CurrentRequest current(m_current);
+    const CurrentRequest current(m_current, !m_isRefusing);
     const ServiceId service(exchange.rest());
     const Result<Request> request = makeRequest(exchange, service);
     if (!request)
@@ -214,8 +220,10 @@
         m_registry.find<ConfigService>().document();
     const bool isDraining =
         m_loop.call([this] { return m_registry.find<PeerService>().isDraining(); });
+    const bool isSettled =
+        m_loop.call([this] { return m_registry.find<CreditService>().isSettled(); });
     Poco::JSON::Object answer;
-    const bool isReady = document && !isDraining;
+    const bool isReady = document && !isDraining && isSettled;
     answer.set("ready", isReady);
     answer.set("config_version", document ? document->version : 0);
     exchange.send(isReady ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
@@ -224,6 +232,9 @@
 
 Result<Request> CallerService::makeRequest(http::Exchange &exchange, const ServiceId &service) const
 {
+    if (m_isRefusing)
+        return fail(ErrorId::ShuttingDown, Verdict::NotRun, "this instance leaves; locate another",
+                    notReadyRetryAfter);
     const std::shared_ptr<const config::FleetDocument> document =
         m_registry.find<ConfigService>().document();
     if (!document)
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -13,6 +13,7 @@
 #include <egretmount/core/request.h>
 #include <egretmount/membership/instance_list.h>
 #include <egretmount/routing/borrowing.h>
+#include <egretmount/routing/span.h>
 
 #include "credit_service.h"
 #include "entry_settings.h"
@@ -49,6 +50,20 @@
     ///        deadline at the latest, unless the request is withdrawn. Any thread.
     void submit(const Request &request, Decided decided);
 
+    /// @brief Asks for a given target without queueing, borrowing if other instances have room.
+    ///        `decided` is called once, on the loop's thread. Any thread.
+    void reserve(const Request &request, const TargetId &target, Decided decided);
+
+    /// @brief Plans a span; see `routing::planSpan`. Any thread.
+    std::optional<routing::SpanPlan> plan(const Request &request, std::size_t least);
+
+    /// @brief Another engine for a lost part; see `routing::replacePart`. Any thread.
+    std::optional<TargetId> replacement(const routing::SpanPlan &plan, std::size_t index,
+                                        const Request &part);
+
+    /// @brief True if a request needs more than one target's memory. Any thread.
+    bool needsSpan(const Request &request);
+
     /// @brief Takes back a request that is not decided yet; its `decided` is destroyed. Any thread.
     void withdraw(const RequestId &id);
 
@@ -82,6 +97,7 @@
     void returnTeamTokens(const RequestId &id);
     void carryOut(const routing::Decisions &decisions);
     void take(const routing::Assigned &assigned);
+    bool reserveNow(const Request &request, const TargetId &target, const Decided &decided);
     void refreshShares();
     void borrowForBlocked();
     void borrow(const routing::BlockedRequest &blocked);
