--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -11,6 +11,7 @@
 #include "credit_service.h"
 #include "dispatch_service.h"
 #include "http/headers.h"
+#include "metrics_service.h"
 #include "once_relay.h"
 #include "peer_service.h"
 #include "relay.h"
@@ -102,6 +103,7 @@
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
     });
     m_registry.find<StatusService>().addRoutes(m_server);
+    m_registry.find<MetricsService>().addRoutes(m_server);
     m_server.start(m_settings.httpAddress);
     LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
 }
@@ -139,6 +141,7 @@
 void CallerService::complete(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, true);
     const Milliseconds arrival = monotonicNow();
     const Result<std::string> body = exchange.readBody(m_settings.maxBodyBytes);
     if (!body)
@@ -162,6 +165,7 @@
 void CallerService::call(http::Exchange &exchange)
 {
     const CurrentRequest current(m_current, !m_isRefusing);
+    const AnswerCount counted(m_registry, exchange, false);
     std::string body;
     const Result<Request> request = makeCallRequest(exchange, body);
     if (!request) {
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "config_service.h"
+#include "metrics_service.h"
 
 namespace egretmount::entry {
 
@@ -96,7 +97,10 @@
         routing::reserveAt(m_state, request, target, monotonicNow());
     if (decisions.assigned.empty())
         return false;
-    take(decisions.assigned.front());
+    if (!take(decisions.assigned.front())) {
+        carryOut(routing::finish(m_state, request.id, Outcome::Cancelled, 0, monotonicNow()));
+        return false;
+    }
     decided(makeAssignment(decisions.assigned.front()));
     return true;
 }
@@ -135,6 +139,7 @@
         if (running != m_state.running.end() && !running->second.hasFirstToken)
             m_credit->noteFirstToken(running->second.target, running->second.request.promptTokens,
                                      monotonicNow() - running->second.sentAt);
+        refreshChangedShares();
         carryOut(routing::noteFirstToken(m_state, id, monotonicNow()));
     });
 }
@@ -145,6 +150,8 @@
         m_credit->noteReport(
             target, { report.bootId, { report.usedTokens, report.usedSlots }, report.isWarm },
             monotonicNow());
+        m_registry.find<MetricsService>().noteWarmth(target, report.isWarm);
+        refreshChangedShares();
         carryOut(routing::noteReport(m_state, target, report, monotonicNow()));
     });
 }
@@ -158,7 +165,7 @@
             m_credit->release(id,
                               outcome == Outcome::Completed ? Ending::Certain : Ending::Unknown);
         returnTeamTokens(id);
-        refreshShares();
+        refreshChangedShares();
         carryOut(routing::finish(m_state, id, outcome, generated, monotonicNow()));
     });
 }
@@ -200,15 +207,28 @@
 
 void DispatchService::refreshShares()
 {
-    for (const config::Target &target :
-         m_document ? m_document->targets : std::vector<config::Target>()) {
-        const config::Capacity share = m_credit->share(target.id);
-        const routing::TargetView *view = routing::findView(m_state, target.id);
-        const bool isSame =
-            view && view->spendable.tokens == share.tokens && view->spendable.slots == share.slots;
-        if (view && !isSame)
-            carryOut(routing::setSpendable(m_state, target.id, share, monotonicNow()));
-    }
+    if (!m_document)
+        return;
+    for (const config::Target &target : m_document->targets)
+        refreshShare(target.id);
+}
+
+void DispatchService::refreshChangedShares()
+{
+    if (m_credit->isPaused())
+        return refreshShares();
+    for (const TargetId &target : m_credit->takeChanged())
+        refreshShare(target);
+}
+
+void DispatchService::refreshShare(const TargetId &target)
+{
+    const config::Capacity share = m_credit->share(target);
+    const routing::TargetView *view = routing::findView(m_state, target);
+    const bool isSame =
+        view && view->spendable.tokens == share.tokens && view->spendable.slots == share.slots;
+    if (view && !isSame)
+        carryOut(routing::setSpendable(m_state, target, share, monotonicNow()));
 }
 
 void DispatchService::borrowForBlocked()
@@ -231,10 +251,11 @@
             m_borrowing.erase(id);
             if (!isGranted)
                 return;
+            // No share is taken anew here: it holds the loan, which is for this request alone.
             const routing::Decisions decisions =
                 routing::assignTo(m_state, id, target, monotonicNow());
             // The request was answered meanwhile: what was borrowed for it goes back unused.
-            if (decisions.assigned.empty())
+            if (m_state.running.count(id) == 0)
                 m_credit->release(id, Ending::Certain);
             carryOut(decisions);
         });
@@ -260,13 +281,23 @@
                             admission::retryAfter({}, m_state.random)));
     }
     const double weight = team ? static_cast<double>(team->weight) : 1.0;
+    refreshChangedShares();
     carryOut(routing::submit(m_state, request, weight, monotonicNow()));
 }
 
 void DispatchService::carryOut(const routing::Decisions &decisions)
 {
-    for (const routing::Assigned &assigned : decisions.assigned)
-        take(assigned);
+    std::vector<RequestId> withoutCredit;
+    for (const routing::Assigned &assigned : decisions.assigned) {
+        if (!take(assigned))
+            withoutCredit.push_back(assigned.request);
+    }
+    // The share shrank after the dispatcher had last looked at it.
+    for (const RequestId &id : withoutCredit) {
+        answer(id, fail(ErrorId::Overloaded, Verdict::NotRun, "no target has room",
+                        admission::retryAfter({}, m_state.random)));
+        carryOut(routing::finish(m_state, id, Outcome::Cancelled, 0, monotonicNow()));
+    }
     for (const routing::Assigned &assigned : decisions.assigned)
         answer(assigned.request, makeAssignment(assigned));
     for (const routing::Refused &refused : decisions.refused) {
@@ -297,11 +328,11 @@
     m_limited.erase(limited);
 }
 
-void DispatchService::take(const routing::Assigned &assigned)
+bool DispatchService::take(const routing::Assigned &assigned)
 {
     const auto running = m_state.running.find(assigned.request);
-    if (running != m_state.running.end())
-        m_credit->take(assigned.target, running->second.request);
+    return running != m_state.running.end()
+           && m_credit->take(assigned.target, running->second.request);
 }
 
 void DispatchService::answer(const RequestId &id, Result<Assignment> result)
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -58,6 +58,7 @@
     , m_dispatch(registry.find<DispatchService>())
     , m_exchange(exchange)
     , m_request(std::move(request))
+    , m_trace(registry, m_request)
     , m_body(body)
     , m_source(source)
     , m_watch(
@@ -80,6 +81,8 @@
                   << " offset=" << m_reassembly.nextOffset;
         result = attempt();
     }
+    const bool isCallerGone = m_watch->interruption() == Interruption::CallerGone;
+    m_trace.finish(m_verdict, result ? nullptr : &result.error(), m_out || isCallerGone);
     if (!result)
         answerError(result.error());
 }
@@ -94,6 +97,7 @@
         error.verdict = m_verdict;
         return tl::make_unexpected(error);
     }
+    m_trace.noteAssigned();
     m_target = assignment->target;
     Result<void> result = relayFrom(*assignment);
     const bool isInterrupted = m_watch->interruption() != Interruption::None;
@@ -171,6 +175,8 @@
         m_exchange.response().set(http::verdictHeader, std::string(nameOf(m_verdict)));
         m_out = &m_exchange.startEvents();
     }
+    if (!chunk.isLast)
+        m_trace.noteToken();
     *m_out << "id: " << chunk.offset << '\n' << chunk.payload << '\n';
     if (chunk.isLast)
         noteUsage(chunk);
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -11,6 +11,7 @@
 #include "dispatch_service.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "request_trace.h"
 #include "request_watch.h"
 
 namespace egretmount::entry {
@@ -74,6 +75,7 @@
     DispatchService &m_dispatch;
     http::Exchange &m_exchange;
     Request m_request;
+    RequestTrace m_trace;
     const std::string &m_body;
     const CompletionSource *m_source; // null: the queue and the caller's body
     std::shared_ptr<RequestWatch> m_watch;
--- a/tests/parts/credit_network.cpp
+++ b/tests/parts/credit_network.cpp
@@ -112,10 +112,13 @@
         if (!chance(3))
             list.push_back(nameOf(i));
     }
+    for (Node &each : m_nodes) {
+        // One that is about to read the list reads the newest.
+        if (each.listVersion == m_lists.size())
+            each.adoptsAt = m_now + m_random.between(0_ms, lag);
+    }
     m_lists.push_back(list);
     m_lastPublication = m_now;
-    for (Node &each : m_nodes)
-        each.adoptsAt = m_now + m_random.between(0_ms, lag);
 }
 
 void CreditNetwork::stepNode(int index)
