--- a/include/egretmount/admission/token_estimate.h
+++ b/include/egretmount/admission/token_estimate.h
@@ -29,7 +29,7 @@
 };
 
 /// @brief Used before the first report of usage, in tokens for each byte.
-constexpr double assumedTokensPerByte = 0.35;
+constexpr double assumedTokensPerByte = 0.25;
 
 /// @brief Takes in the usage that an engine reported. Short prompts are ignored, as the fixed parts
 ///        that an engine adds distort their ratio.
