--- a/apps/standins/target/parts.cpp
+++ b/apps/standins/target/parts.cpp
@@ -73,7 +73,7 @@
     engine.leave(stream);
     if (state == StreamState::Held)
         return writePart(out, request.promptState, request.promptTokens);
-    engine.cancel(request.id);
+    engine.cancel(request.id, request.owner);
     writeLoss(out);
 }
 
