--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -9,6 +9,7 @@
 #include "call_relay.h"
 #include "config_service.h"
 #include "credit_service.h"
+#include "dispatch_service.h"
 #include "http/headers.h"
 #include "metrics_service.h"
 #include "once_relay.h"
@@ -164,7 +165,8 @@
     if (!request)
         return exchange.sendError(request.error());
     request->arrival = arrival;
-    request->promptTokens = completion->promptTokens;
+    request->promptBytes = completion->promptBytes;
+    request->promptTokens = m_registry.find<DispatchService>().estimateTokens(*request);
     request->maxTokens = completion->maxTokens;
     const Result<TokenCount> nextOffset = readNextOffset(exchange, completion->maxTokens);
     if (!nextOffset)
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -44,6 +44,7 @@
                                  const EntrySettings &settings)
     : m_loop(loop)
     , m_registry(registry)
+    , m_self(settings.id)
 {
     m_state.policy = settings.lanePolicy;
     m_state.ownZone = settings.zone;
@@ -56,6 +57,7 @@
     ConfigService &config = m_registry.find<ConfigService>();
     config.onDocument(
         [this, &config](const config::FleetDocument &) { takeDocument(config.document()); });
+    config.onList([this](const membership::InstanceList &list) { takeList(list); });
     m_credit = &m_registry.find<CreditService>();
     m_credit->onShareChanged([this] { refreshShares(); });
     m_loop.every(tickInterval, [this] {
@@ -95,7 +97,10 @@
         routing::reserveAt(m_state, request, target, monotonicNow());
     if (decisions.assigned.empty())
         return false;
-    take(decisions.assigned.front());
+    if (!take(decisions.assigned.front())) {
+        carryOut(routing::finish(m_state, request.id, Outcome::Cancelled, 0, monotonicNow()));
+        return false;
+    }
     decided(makeAssignment(decisions.assigned.front()));
     return true;
 }
@@ -120,8 +125,10 @@
 void DispatchService::withdraw(const RequestId &id)
 {
     m_loop.post([this, id] {
-        if (m_undecided.erase(id) > 0)
-            routing::withdraw(m_state, id);
+        if (m_undecided.erase(id) == 0)
+            return;
+        routing::withdraw(m_state, id);
+        returnTeamTokens(id);
     });
 }
 
@@ -132,6 +139,7 @@
         if (running != m_state.running.end() && !running->second.hasFirstToken)
             m_credit->noteFirstToken(running->second.target, running->second.request.promptTokens,
                                      monotonicNow() - running->second.sentAt);
+        refreshChangedShares();
         carryOut(routing::noteFirstToken(m_state, id, monotonicNow()));
     });
 }
@@ -143,6 +151,7 @@
             target, { report.bootId, { report.usedTokens, report.usedSlots }, report.isWarm },
             monotonicNow());
         m_registry.find<MetricsService>().noteWarmth(target, report.isWarm);
+        refreshChangedShares();
         carryOut(routing::noteReport(m_state, target, report, monotonicNow()));
     });
 }
@@ -155,11 +164,27 @@
         if (isHeld)
             m_credit->release(id,
                               outcome == Outcome::Completed ? Ending::Certain : Ending::Unknown);
-        refreshShares();
+        returnTeamTokens(id);
+        refreshChangedShares();
         carryOut(routing::finish(m_state, id, outcome, generated, monotonicNow()));
     });
 }
 
+TokenCount DispatchService::estimateTokens(const Request &request)
+{
+    return m_loop.call([this, &request] {
+        return admission::estimateTokens(m_estimator, request.service, request.team,
+                                         request.promptBytes);
+    });
+}
+
+void DispatchService::noteUsage(const Request &request, TokenCount promptTokens)
+{
+    m_loop.post(
+        [this, service = request.service, team = request.team, bytes = request.promptBytes,
+         promptTokens] { admission::noteUsage(m_estimator, service, team, bytes, promptTokens); });
+}
+
 bool DispatchService::takeRetry()
 {
     return m_loop.call([this] { return admission::takeRetry(m_retries); });
@@ -172,17 +197,38 @@
     refreshShares();
 }
 
+void DispatchService::takeList(const membership::InstanceList &list)
+{
+    std::vector<InstanceId> listed;
+    for (const membership::ListedInstance &instance : list)
+        listed.push_back(instance.id);
+    admission::setInstances(m_limits, listed, m_self, monotonicNow());
+}
+
 void DispatchService::refreshShares()
 {
-    for (const config::Target &target :
-         m_document ? m_document->targets : std::vector<config::Target>()) {
-        const config::Capacity share = m_credit->share(target.id);
-        const routing::TargetView *view = routing::findView(m_state, target.id);
-        const bool isSame =
-            view && view->spendable.tokens == share.tokens && view->spendable.slots == share.slots;
-        if (view && !isSame)
-            carryOut(routing::setSpendable(m_state, target.id, share, monotonicNow()));
-    }
+    if (!m_document)
+        return;
+    for (const config::Target &target : m_document->targets)
+        refreshShare(target.id);
+}
+
+void DispatchService::refreshChangedShares()
+{
+    if (m_credit->isPaused())
+        return refreshShares();
+    for (const TargetId &target : m_credit->takeChanged())
+        refreshShare(target);
+}
+
+void DispatchService::refreshShare(const TargetId &target)
+{
+    const config::Capacity share = m_credit->share(target);
+    const routing::TargetView *view = routing::findView(m_state, target);
+    const bool isSame =
+        view && view->spendable.tokens == share.tokens && view->spendable.slots == share.slots;
+    if (view && !isSame)
+        carryOut(routing::setSpendable(m_state, target, share, monotonicNow()));
 }
 
 void DispatchService::borrowForBlocked()
@@ -205,10 +251,11 @@
             m_borrowing.erase(id);
             if (!isGranted)
                 return;
+            // No share is taken anew here: it holds the loan, which is for this request alone.
             const routing::Decisions decisions =
                 routing::assignTo(m_state, id, target, monotonicNow());
             // The request was answered meanwhile: what was borrowed for it goes back unused.
-            if (decisions.assigned.empty())
+            if (m_state.running.count(id) == 0)
                 m_credit->release(id, Ending::Certain);
             carryOut(decisions);
         });
@@ -227,25 +274,65 @@
                             "a request with this id is being served",
                             admission::retryAfter({}, m_state.random)));
     }
+    if (!takeTeamTokens(request, team)) {
+        m_undecided.erase(request.id);
+        return decided(fail(ErrorId::TeamLimitReached, Verdict::NotRun,
+                            "the team's token limit is used up at this instance",
+                            admission::retryAfter({}, m_state.random)));
+    }
     const double weight = team ? static_cast<double>(team->weight) : 1.0;
+    refreshChangedShares();
     carryOut(routing::submit(m_state, request, weight, monotonicNow()));
 }
 
 void DispatchService::carryOut(const routing::Decisions &decisions)
 {
-    for (const routing::Assigned &assigned : decisions.assigned)
-        take(assigned);
+    std::vector<RequestId> withoutCredit;
+    for (const routing::Assigned &assigned : decisions.assigned) {
+        if (!take(assigned))
+            withoutCredit.push_back(assigned.request);
+    }
+    // The share shrank after the dispatcher had last looked at it.
+    for (const RequestId &id : withoutCredit) {
+        answer(id, fail(ErrorId::Overloaded, Verdict::NotRun, "no target has room",
+                        admission::retryAfter({}, m_state.random)));
+        carryOut(routing::finish(m_state, id, Outcome::Cancelled, 0, monotonicNow()));
+    }
     for (const routing::Assigned &assigned : decisions.assigned)
         answer(assigned.request, makeAssignment(assigned));
-    for (const routing::Refused &refused : decisions.refused)
+    for (const routing::Refused &refused : decisions.refused) {
+        // A refused twin of a running request holds nothing of its own.
+        if (m_state.running.count(refused.request) == 0)
+            returnTeamTokens(refused.request);
         answer(refused.request, tl::make_unexpected(refused.error));
+    }
+}
+
+bool DispatchService::takeTeamTokens(const Request &request, const config::Team *team)
+{
+    if (!team || team->tokenLimit == 0 || m_limited.count(request.id) > 0)
+        return true;
+    if (!admission::takeTokens(m_limits, team->id, team->tokenLimit, request.memoryTokens(),
+                               monotonicNow()))
+        return false;
+    m_limited.emplace(request.id, request);
+    return true;
+}
+
+void DispatchService::returnTeamTokens(const RequestId &id)
+{
+    const auto limited = m_limited.find(id);
+    if (limited == m_limited.end())
+        return;
+    admission::returnTokens(m_limits, limited->second.team, limited->second.memoryTokens());
+    m_limited.erase(limited);
 }
 
-void DispatchService::take(const routing::Assigned &assigned)
+bool DispatchService::take(const routing::Assigned &assigned)
 {
     const auto running = m_state.running.find(assigned.request);
-    if (running != m_state.running.end())
-        m_credit->take(assigned.target, running->second.request);
+    return running != m_state.running.end()
+           && m_credit->take(assigned.target, running->second.request);
 }
 
 void DispatchService::answer(const RequestId &id, Result<Assignment> result)
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -12,6 +12,7 @@
 #include "entry_settings.h"
 #include "kernel/daemon.h"
 #include "metrics_service.h"
+#include "order_service.h"
 #include "peer_service.h"
 #include "request_watch.h"
 #include "status_service.h"
@@ -69,6 +70,7 @@
     registry.add(std::make_unique<entry::CancelService>());
     registry.add(std::make_unique<entry::MetricsService>(registry));
     registry.add(std::make_unique<entry::StatusService>(loop, registry, own));
+    registry.add(std::make_unique<entry::OrderService>(loop, registry, own));
     registry.add(std::make_unique<entry::TicketService>(loop, registry, own));
     entry::CallerService &callers =
         registry.add(std::make_unique<entry::CallerService>(loop, registry, own));
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -20,7 +20,7 @@
 struct CompletionBody
 {
     ServiceId service; ///< The `model` of the request names a service.
-    TokenCount promptTokens = 0; ///< Estimated from the length of the prompt.
+    std::int64_t promptBytes = 0;
     TokenCount maxTokens = 0;
 };
 
@@ -69,6 +69,7 @@
     Result<void> relayResponse(http::ClientCall &call, const TargetId &target);
     Result<void> readEvents(std::istream &stream);
     bool forward(const stream::Chunk &chunk);
+    void noteUsage(const stream::Chunk &last);
     void answerError(const Error &error);
     void release(const Assignment &assignment, Outcome outcome);
     Error interruptionError() const;
--- a/src/credit/escrow.cpp
+++ b/src/credit/escrow.cpp
@@ -162,7 +162,8 @@
     state.lastTick = now;
     if (gap > state.settings.pauseBound)
         state.resumesAt = now + state.settings.listLag;
-    if (gap > state.settings.holdOff)
+    // A list that came and went meanwhile may have given the shares to others.
+    if (gap > state.settings.holdOff - state.settings.listLag * 2)
         guardAll(state, now);
     expire(state, now);
     for (std::pair<const TargetId, Account> &entry : state.accounts)
@@ -209,10 +210,14 @@
     account->leaseUntil = until;
 }
 
+bool isPaused(const EscrowState &state, Milliseconds now)
+{
+    return now - state.lastTick > state.settings.pauseBound || now < state.resumesAt;
+}
+
 Capacity usable(const EscrowState &state, const Account &account, Milliseconds now)
 {
-    const bool isPaused = now - state.lastTick > state.settings.pauseBound;
-    if (isPaused || now < state.resumesAt)
+    if (isPaused(state, now))
         return {};
     return account.isCold ? usableCold(account, now) : usableWarm(account, now);
 }
@@ -258,7 +263,7 @@
                               Milliseconds now)
 {
     const auto found = state.flights.find(request);
-    if (found == state.flights.end())
+    if (found == state.flights.end() || state.gatherings.count(request) > 0)
         return {};
     const Flight flight = found->second;
     state.flights.erase(found);
--- a/src/credit/lending.cpp
+++ b/src/credit/lending.cpp
@@ -82,7 +82,8 @@
     if (!account || (request.wantsCold && !account->isCold))
         return { request.number, false, {} };
     const Capacity amount = orZero(least(request.wanted, room(state, *account, now)));
-    if (isNothing(amount))
+    const bool lacksSlot = request.wanted.slots > 0 && amount.slots == 0;
+    if (lacksSlot || isNothing(amount))
         return { request.number, false, {} };
     state.loans[key] = { request.target, amount, now, now + request.hold };
     account->lent = account->lent + amount;
@@ -150,6 +151,13 @@
     return isNothing(gathering.missing) ? complete(state, id, now) : askNext(state, id, now);
 }
 
+GatherStep cancelGathering(EscrowState &state, const RequestId &request)
+{
+    GatherStep step;
+    step.request = request;
+    return state.gatherings.count(request) > 0 ? abandon(state, request) : step;
+}
+
 GatherStep noteNoAnswer(EscrowState &state, std::uint64_t number, Milliseconds now)
 {
     const auto ask = state.asks.find(number);
--- a/src/routing/borrowing.cpp
+++ b/src/routing/borrowing.cpp
@@ -32,7 +32,7 @@
                                        const Request &request, Milliseconds now)
 {
     const PoolSizes sizes = poolSizes(state.policy, service.demand, service.order.size(),
-                                      prefillRate(service.rates, now));
+                                      prefillRate(service.rates, assumedPrefillTokensPerMs, now));
     const bool isSplit = sizes.shortReserve > 0;
     if (!isSplit || !isLongClass(lengthClassOf(request.promptTokens)))
         return {};
@@ -40,6 +40,18 @@
     return { service.order.begin() + static_cast<std::ptrdiff_t>(pool), service.order.end() };
 }
 
+// True if a share has room: the request then waits for its turn, not for capacity.
+bool hasOwnRoom(const DispatchState &state, const ServiceState &service, const Request &request,
+                Milliseconds now)
+{
+    const std::vector<std::size_t> closed = closedTargets(state, service, request, now);
+    return std::any_of(service.order.begin(), service.order.end(), [&](std::size_t i) {
+        const TargetView &view = state.targets[i];
+        const bool isClosed = std::find(closed.begin(), closed.end(), i) != closed.end();
+        return !isClosed && view.failedUntil <= now && hasRoom(view, request, now);
+    });
+}
+
 std::vector<TargetId> candidatesOf(const DispatchState &state, const ServiceState &service,
                                    const Request &request, Milliseconds now)
 {
@@ -63,7 +75,8 @@
     std::vector<BlockedRequest> blocked;
     for (auto service = state.services.begin(); service != state.services.end(); ++service) {
         for (const admission::Lane &lane : service->second.lanes) {
-            if (const Request *front = admission::front(lane))
+            const Request *front = admission::front(lane);
+            if (front && !hasOwnRoom(state, service->second, *front, now))
                 blocked.push_back({ *front, candidatesOf(state, service->second, *front, now) });
         }
     }
@@ -81,7 +94,7 @@
     const std::optional<Request> request = takeWaiting(service, id);
     if (!request)
         return decisions;
-    send(state, *request, *view, now, decisions);
+    send(state, *request, false, *view, now, decisions);
     pump(state, service, now, decisions);
     return decisions;
 }
--- a/src/routing/span.cpp
+++ b/src/routing/span.cpp
@@ -157,7 +157,7 @@
     ServiceState &service = serviceOf(state, view->service);
     if (isLongClass(lengthClassOf(request.promptTokens)))
         service.demand.longBacklog += request.promptTokens;
-    send(state, request, *view, now, decisions);
+    send(state, request, false, *view, now, decisions);
     return decisions;
 }
 
