--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -172,8 +172,8 @@
     if (!nextOffset)
         return exchange.sendError(nextOffset.error());
     if (m_registry.find<DispatchService>().needsSpan(*request))
-        return SpanRelay(m_registry, exchange, *request, *body).run();
-    CompletionRelay relay(m_registry, exchange, *request, *body, nullptr, *nextOffset);
+        return SpanRelay(m_registry, exchange, *request, *body, *nextOffset).run();
+    CompletionRelay relay(m_registry, exchange, *request, *body, *nextOffset);
     relay.run();
 }
 
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -67,8 +67,8 @@
     registry.add(std::make_unique<entry::CreditService>(loop, registry, own));
     registry.add(std::make_unique<entry::DispatchService>(loop, registry, own));
     registry.add(std::make_unique<entry::WatchService>(loop));
-    registry.add(std::make_unique<entry::CancelService>());
     registry.add(std::make_unique<entry::MetricsService>(registry));
+    registry.add(std::make_unique<entry::CancelService>());
     registry.add(std::make_unique<entry::StatusService>(loop, registry, own));
     registry.add(std::make_unique<entry::OrderService>(loop, registry, own));
     registry.add(std::make_unique<entry::TicketService>(loop, registry, own));
--- a/apps/entry/relay.cpp
+++ b/apps/entry/relay.cpp
@@ -53,14 +53,14 @@
 }
 
 CompletionRelay::CompletionRelay(kernel::Registry &registry, http::Exchange &exchange,
-                                 Request request, const std::string &body,
-                                 const CompletionSource *source, TokenCount nextOffset)
+                                 Request request, const std::string &body, TokenCount nextOffset,
+                                 const CompletionSource *source)
     : m_registry(registry)
     , m_dispatch(registry.find<DispatchService>())
     , m_exchange(exchange)
     , m_request(std::move(request))
-    , m_admitted(source ? m_request : withUniqueId(m_request))
     , m_trace(registry, m_request)
+    , m_admitted(source ? m_request : withUniqueId(m_request))
     , m_body(body)
     , m_source(source)
     , m_watch(
@@ -158,8 +158,7 @@
         if (m_reassembly.nextOffset > 0)
             request.set(http::lastEventIdHeader, std::to_string(m_reassembly.nextOffset - 1));
         m_verdict = Verdict::MayHaveRun;
-        const std::string &body = m_source ? m_source->prepare(request) : m_body;
-        call->send(request, body);
+        call->send(request, m_source ? m_source->prepare(request) : m_body);
         result = relayResponse(*call, assignment.target);
     } catch (const Poco::Exception &) {
         result = fail(ErrorId::TargetFailed, m_verdict, "the target failed", retryAfterFailure);
--- a/apps/entry/relay.h
+++ b/apps/entry/relay.h
@@ -50,8 +50,8 @@
 public:
     /// @param nextOffset The first token that the caller lacks; above zero where it resumes.
     CompletionRelay(kernel::Registry &registry, http::Exchange &exchange, Request request,
-                    const std::string &body, const CompletionSource *source = nullptr,
-                    TokenCount nextOffset = 0);
+                    const std::string &body, TokenCount nextOffset,
+                    const CompletionSource *source = nullptr);
     ~CompletionRelay();
 
     CompletionRelay(const CompletionRelay &) = delete;
@@ -79,8 +79,8 @@
     DispatchService &m_dispatch;
     http::Exchange &m_exchange;
     Request m_request;
-    Request m_admitted; // as the dispatch service knows it
     RequestTrace m_trace;
+    Request m_admitted; // as the dispatch service knows it
     const std::string &m_body;
     const CompletionSource *m_source; // null: the queue and the caller's body
     std::shared_ptr<RequestWatch> m_watch;
--- a/apps/entry/span_part.h
+++ b/apps/entry/span_part.h
@@ -30,6 +30,7 @@
 bool isPartHeld(const std::string &address, const RequestId &part);
 
 /// @brief Ends a part at its engine; a lost call is made up for by the part's expiry.
-void cancelPart(const std::string &address, const RequestId &part);
+/// @param owner Only a part of this owner is ended.
+void cancelPart(const std::string &address, const RequestId &part, const std::string &owner);
 
 } // namespace egretmount::entry
--- a/apps/entry/target_call.cpp
+++ b/apps/entry/target_call.cpp
@@ -63,7 +63,7 @@
 Request withUniqueId(Request request)
 {
     static std::atomic<std::uint64_t> count { 0 };
-    request.id.value += '#' + std::to_string(++count); // no caller's id has that sign
+    request.id.value += '~' + std::to_string(++count); // no caller's id has that sign
     return request;
 }
 
--- a/apps/standins/target/engine.cpp
+++ b/apps/standins/target/engine.cpp
@@ -56,8 +56,8 @@
                             && stream->request.maxTokens == request.maxTokens;
         if (isSame && !stream->isOver()) {
             ++stream->readers;
-            stream->request.owner = request.owner;
             stream->isSuspended = false;
+            stream->request.owner = request.owner;
             return stream;
         }
     }
--- a/apps/standins/target/main.cpp
+++ b/apps/standins/target/main.cpp
@@ -307,6 +307,12 @@
         }
     }
 
+    static void sendInterruption(std::ostream &out)
+    {
+        out << "event: error\ndata: {\"error\":{\"name\":\"stream-interrupted\"}}\n\n"
+            << std::flush;
+    }
+
     // With the scramble fault, tokens that are ready together go out in reverse, each one twice.
     void writeTokens(std::ostream &out, const StreamRequest &request, TokenCount first,
                      TokenCount end) const
@@ -320,12 +326,6 @@
         out << std::flush;
     }
 
-    static void sendInterruption(std::ostream &out)
-    {
-        out << "event: error\ndata: {\"error\":{\"name\":\"stream-interrupted\"}}\n\n"
-            << std::flush;
-    }
-
     void cancel(http::Exchange &exchange)
     {
         m_engine.cancel(RequestId(exchange.rest()), exchange.header(http::ownerHeader));
