--- /dev/null
+++ b/bench/credit_bench.cpp
@@ -0,0 +1,84 @@
+// Cost of credits at one instance: time of a decision, of a list change, and bytes of state.
+
+#include <chrono>
+#include <cstdio>
+#include <malloc.h>
+
+#include <egretmount/credit/escrow.h>
+
+namespace {
+
+using namespace egretmount;
+using namespace egretmount::credit;
+using namespace egretmount::literals;
+using Clock = std::chrono::steady_clock;
+
+constexpr int decisions = 200'000;
+
+std::vector<config::Target> makeTargets(int count)
+{
+    std::vector<config::Target> targets(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        targets[static_cast<std::size_t>(i)].id = TargetId("engine-" + std::to_string(i));
+        targets[static_cast<std::size_t>(i)].capacity = { 200'000, 64 };
+    }
+    return targets;
+}
+
+double nanosecondsSince(Clock::time_point start)
+{
+    return std::chrono::duration<double, std::nano>(Clock::now() - start).count();
+}
+
+void measure(int instances, int targetCount)
+{
+    std::vector<InstanceId> listed;
+    listed.reserve(static_cast<std::size_t>(instances));
+    for (int i = 0; i < instances; ++i)
+        listed.emplace_back("entry-" + std::to_string(i));
+    const std::vector<config::Target> targets = makeTargets(targetCount);
+    const Roster roster(listed);
+    const std::size_t before = mallinfo2().uordblks;
+    EscrowState state;
+    state.self = { listed.front(), 1 };
+    const Clock::time_point listStart = Clock::now();
+    setTargets(state, targets, roster, 1_ms);
+    const double listChange = nanosecondsSince(listStart) / 1e6;
+    const std::size_t bytes = mallinfo2().uordblks - before;
+    int held = 0;
+    const Milliseconds later = 10'000'000_ms; // every guard has ended
+    TargetId own;
+    for (const config::Target &target : targets) {
+        setCold(state, target.id, false, 2_ms);
+        if (state.accounts[target.id].share.slots > 0) {
+            own = target.id;
+            ++held;
+        }
+    }
+    state.lastTick = later; // not a pause
+    Request request;
+    request.id = RequestId("request");
+    request.promptTokens = 500;
+    request.deadline = later + 1'000_ms;
+    int taken = 0;
+    const Clock::time_point start = Clock::now();
+    for (int i = 0; i < decisions; ++i) {
+        taken += spendable(state, own, later).slots > 0 && take(state, own, request, later) ? 1 : 0;
+        release(state, request.id, true, later);
+    }
+    const double each = nanosecondsSince(start) / decisions;
+    std::printf("%9d %8d %6d %12.0f %15.2f %14zu %7d\n", instances, targetCount, held, each,
+                listChange, bytes, taken);
+}
+
+} // namespace
+
+int main()
+{
+    std::printf("instances  targets   held  ns/decision  ms/list-change  bytes-of-state   taken\n");
+    measure(8, 20);
+    measure(50, 75);
+    measure(200, 300);
+    measure(400, 600);
+    return 0;
+}
--- a/include/egretmount/credit/lease.h
+++ b/include/egretmount/credit/lease.h
@@ -14,6 +14,8 @@
 {
     Milliseconds length = Milliseconds(2'000);
     Milliseconds renewEvery = Milliseconds(500);
+    /// After a start an instance neither grants nor asks: a lease and the lag of the list.
+    Milliseconds settling = Milliseconds(3'000);
     /// So long a candidate of a list before is still asked: its promises may be in force.
     Milliseconds formerFor = Milliseconds(4'000);
 };
@@ -70,7 +72,7 @@
 {
     InstanceRun self;
     LeaseSettings settings;
-    Milliseconds startedAt; ///< Promises of an earlier incarnation have run out one length later.
+    Milliseconds startedAt; ///< Promises of an earlier incarnation run out `settling` later.
     bool isLeaving = false;
     std::uint64_t lastNumber = 0;
     Roster roster;
@@ -82,7 +84,7 @@
                     Milliseconds now);
 
 /// @brief Answers another instance's request. Grants only to listed instances, not while leaving,
-///        not within one length of the start, and never to two at once.
+///        not within the settling time after the start, and never to two at once.
 LeaseReply answerLease(LeaseState &state, const LeaseRequest &request, Milliseconds now);
 
 /// @brief Starts a round: the request goes to every instance of `awaited`.
--- a/src/credit/lease.cpp
+++ b/src/credit/lease.cpp
@@ -14,7 +14,7 @@
 // What an earlier incarnation of this instance promised or held has run out.
 bool isSettled(const LeaseState &state, Milliseconds now)
 {
-    return now >= state.startedAt + state.settings.length;
+    return now >= state.startedAt + state.settings.settling;
 }
 
 bool isPromisedToOther(const TargetLease &lease, const InstanceRun &run, Milliseconds now)
