--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -75,33 +75,33 @@
 void DispatchService::reserve(const Request &request, const TargetId &target, Decided decided)
 {
     m_loop.post([this, request, target, decided = std::move(decided)] {
-        if (reserveNow(request, target, decided))
+        refreshChangedShares();
+        if (place(routing::reserveAt(m_state, request, target, monotonicNow()), decided))
             return;
         if (!m_credit->mayBorrow(target, request))
             return decided(noRoom(m_state.random));
         m_credit->borrow(target, request, [this, request, target, decided](bool isGranted) {
-            refreshShares();
-            if (isGranted && reserveNow(request, target, decided))
+            if (!isGranted)
+                return decided(noRoom(m_state.random));
+            // No share is taken anew here: it holds the loan, which is for this request alone.
+            if (place(routing::reserveLoaned(m_state, request, target, monotonicNow()), decided))
                 return;
-            if (isGranted)
-                m_credit->release(request.id, Ending::Certain);
+            m_credit->release(request.id, Ending::Certain);
             decided(noRoom(m_state.random));
         });
     });
 }
 
-bool DispatchService::reserveNow(const Request &request, const TargetId &target,
-                                 const Decided &decided)
+bool DispatchService::place(const routing::Decisions &decisions, const Decided &decided)
 {
-    const routing::Decisions decisions =
-        routing::reserveAt(m_state, request, target, monotonicNow());
     if (decisions.assigned.empty())
         return false;
-    if (!take(decisions.assigned.front())) {
-        carryOut(routing::finish(m_state, request.id, Outcome::Cancelled, 0, monotonicNow()));
+    const routing::Assigned &assigned = decisions.assigned.front();
+    if (!take(assigned)) {
+        carryOut(routing::finish(m_state, assigned.request, Outcome::Cancelled, 0, monotonicNow()));
         return false;
     }
-    decided(makeAssignment(decisions.assigned.front()));
+    decided(makeAssignment(assigned));
     return true;
 }
 
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -97,7 +97,7 @@
     void returnTeamTokens(const RequestId &id);
     void carryOut(const routing::Decisions &decisions);
     bool take(const routing::Assigned &assigned);
-    bool reserveNow(const Request &request, const TargetId &target, const Decided &decided);
+    bool place(const routing::Decisions &decisions, const Decided &decided);
     void refreshShares();
     void refreshChangedShares();
     void refreshShare(const TargetId &target);
--- a/include/egretmount/routing/span.h
+++ b/include/egretmount/routing/span.h
@@ -54,4 +54,8 @@
 Decisions reserveAt(DispatchState &state, const Request &request, const TargetId &target,
                     Milliseconds now);
 
+/// @brief The same for a request that has borrowed the room it needs; the share is not looked at.
+Decisions reserveLoaned(DispatchState &state, const Request &request, const TargetId &target,
+                        Milliseconds now);
+
 } // namespace egretmount::routing
--- a/src/routing/span.cpp
+++ b/src/routing/span.cpp
@@ -148,11 +148,20 @@
 
 Decisions reserveAt(DispatchState &state, const Request &request, const TargetId &target,
                     Milliseconds now)
+{
+    const TargetView *view = findView(state, target);
+    if (!view || !hasRoom(*view, request, now))
+        return {};
+    return reserveLoaned(state, request, target, now);
+}
+
+Decisions reserveLoaned(DispatchState &state, const Request &request, const TargetId &target,
+                        Milliseconds now)
 {
     Decisions decisions;
     TargetView *view = findView(state, target);
     const bool isKnown = state.running.count(request.id) > 0;
-    if (!view || isKnown || !isOpen(*view, request.service, now) || !hasRoom(*view, request, now))
+    if (!view || isKnown || !isOpen(*view, request.service, now))
         return decisions;
     ServiceState &service = serviceOf(state, view->service);
     if (isLongClass(lengthClassOf(request.promptTokens)))
