--- a/apps/entry/caller_service.cpp
+++ b/apps/entry/caller_service.cpp
@@ -114,8 +114,11 @@
     m_server.route("GET", "/health/live", [](http::Exchange &e) {
         e.send(HTTPResponse::HTTP_OK, jsonType, "{\"live\":true}");
     });
-    m_registry.find<StatusService>().addRoutes(m_server);
-    m_registry.find<MetricsService>().addRoutes(m_server);
+    http::Server &pages = m_settings.operatorsAddress.empty() ? m_server : m_operatorsServer;
+    m_registry.find<StatusService>().addRoutes(pages);
+    m_registry.find<MetricsService>().addRoutes(pages);
+    if (!m_settings.operatorsAddress.empty())
+        m_operatorsServer.start(m_settings.operatorsAddress);
     m_server.start(m_settings.httpAddress);
     LOG(INFO) << "callers: listening address=" << m_settings.httpAddress;
 }
@@ -123,6 +126,7 @@
 void CallerService::stop()
 {
     m_server.stop();
+    m_operatorsServer.stop();
 }
 
 void CallerService::locate(http::Exchange &exchange)
--- a/apps/entry/caller_service.h
+++ b/apps/entry/caller_service.h
@@ -51,6 +51,7 @@
     kernel::Registry &m_registry;
     EntrySettings m_settings;
     http::Server m_server;
+    http::Server m_operatorsServer; // started only if operators have an address of their own
     std::atomic<int> m_current { 0 };
     std::atomic<bool> m_isRefusing { false };
 };
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Milliseconds tickInterval = 10_ms;
+constexpr std::uint64_t ticksPerFullLook = 10;
 
 std::vector<routing::TargetView> viewsOf(const config::FleetDocument &document)
 {
@@ -61,7 +62,11 @@
     m_credit = &m_registry.find<CreditService>();
     m_credit->onShareChanged([this] { refreshShares(); });
     m_loop.every(tickInterval, [this] {
-        refreshShares();
+        // Shares that open with time are found by the full look; all others by their change.
+        if (m_ticks++ % ticksPerFullLook == 0)
+            refreshShares();
+        else
+            refreshChangedShares();
         carryOut(routing::tick(m_state, monotonicNow()));
         borrowForBlocked();
     });
--- a/apps/entry/dispatch_service.h
+++ b/apps/entry/dispatch_service.h
@@ -110,6 +110,7 @@
     kernel::Registry &m_registry;
     CreditService *m_credit = nullptr; // set by start
     std::shared_ptr<const config::FleetDocument> m_document;
+    std::uint64_t m_ticks = 0;
     routing::DispatchState m_state;
     admission::RetryBudget m_retries;
     admission::TokenEstimator m_estimator;
--- a/apps/entry/entry_settings.cpp
+++ b/apps/entry/entry_settings.cpp
@@ -37,6 +37,13 @@
               { "senderToken", ValueKind::Text, "", "", 0, 0, "", false,
                 "Secret that targets expect of who gives them orders." },
           } },
+        { "operators",
+          false,
+          {
+              { "address", ValueKind::Address, "", "", 0, 0, "", false,
+                "Address of /metrics, /v1/status and /v1/explain, which name teams and targets; "
+                "empty: that for callers." },
+          } },
         { "limits",
           false,
           {
@@ -98,6 +105,7 @@
     read.platformAddress = settings.section("platform").text("address");
     read.fleetKey = settings.section("peers").text("fleetKey");
     read.senderToken = settings.section("peers").text("senderToken");
+    read.operatorsAddress = settings.section("operators").text("address");
     read.maxBodyBytes = static_cast<std::size_t>(limits.integer("maxBodyBytes"));
     read.maxRequests = static_cast<int>(limits.integer("maxRequests"));
     read.defaultDeadline = Milliseconds(limits.integer("defaultDeadlineMs"));
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -22,6 +22,7 @@
     std::string platformAddress;
     std::string fleetKey;
     std::string senderToken; ///< Proves to targets that an order is the fleet's; may be empty.
+    std::string operatorsAddress; ///< Empty: operators' pages are on the callers' address.
     std::size_t maxBodyBytes = 0;
     int maxRequests = 0;
     Milliseconds defaultDeadline;
--- a/apps/entry/peer_service.cpp
+++ b/apps/entry/peer_service.cpp
@@ -100,7 +100,7 @@
                     .eagerlyEvaluate([this](kj::Exception &&error) {
                         LOG(ERROR) << "peers: cannot listen address=" << m_listenAddress
                                    << " reason=\"" << error.getDescription().cStr() << '"';
-                        m_loop.stop();
+                        m_loop.fail();
                     }));
     m_registry.find<ConfigService>().onKnown([this] {
         checkStartup();
--- a/bench/lane_policies.cpp
+++ b/bench/lane_policies.cpp
@@ -4,7 +4,7 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "support/small_fleet.h"
+#include "model/small_fleet.h"
 
 using namespace egretmount;
 using namespace egretmount::tests;
--- a/include/egretmount/admission/lane_queue.h
+++ b/include/egretmount/admission/lane_queue.h
@@ -58,7 +58,6 @@
     double knownWeight = 0; ///< Sum of the weights of `teams`.
     TokenCount queuedTokens = 0;
     std::uint64_t arrivals = 0;
-    bool liftsReturning = true; ///< False only in tests, as a mutation.
 
     bool isEmpty() const { return places.empty(); }
     std::size_t size() const { return places.size(); }
--- a/src/admission/lane_queue.cpp
+++ b/src/admission/lane_queue.cpp
@@ -70,8 +70,7 @@
     if (team.requests.empty()) {
         lane.knownWeight += weight - team.weight;
         team.weight = weight;
-        if (lane.liftsReturning)
-            team.served = std::max(team.served, lane.floor);
+        team.served = std::max(team.served, lane.floor);
     }
     const bool byArrival = lane.order == LaneOrder::Arrival;
     const Milliseconds urgent =
--- a/src/daemon/kernel/daemon.cpp
+++ b/src/daemon/kernel/daemon.cpp
@@ -52,7 +52,7 @@
     }
     loop.run();
     registry.stopAll();
-    return 0;
+    return loop.hasFailed() ? exitCannotStart : 0;
 }
 
 } // namespace egretmount::kernel
--- a/src/daemon/kernel/loop.cpp
+++ b/src/daemon/kernel/loop.cpp
@@ -48,6 +48,12 @@
     post([this] { m_stop->fulfill(); });
 }
 
+void Loop::fail()
+{
+    m_hasFailed = true;
+    stop();
+}
+
 void Loop::post(std::function<void()> task)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/daemon/kernel/loop.h
+++ b/src/daemon/kernel/loop.h
@@ -36,6 +36,12 @@
     /// @brief Ends `run` after the task in hand. Any thread; more than one call does no harm.
     void stop();
 
+    /// @brief Ends `run` because the process cannot go on; `hasFailed` is true afterwards. Loop
+    /// thread only.
+    void fail();
+
+    bool hasFailed() const { return m_hasFailed; }
+
     /// @brief Runs a task on the loop's thread soon. Any thread. Tasks keep their order.
     ///
     /// Once the loop has ended, tasks are destroyed without being run.
@@ -89,6 +95,7 @@
     bool m_hasEnded = false; // guarded by m_mutex
     std::vector<std::function<void(Milliseconds)>> m_pauseListeners;
     Milliseconds m_lastTick;
+    bool m_hasFailed = false;
 };
 
 } // namespace egretmount::kernel
--- a/tests/parts/admission_limits_test.cpp
+++ b/tests/parts/admission_limits_test.cpp
@@ -24,7 +24,6 @@
 TokenCount servedBesideReturning(bool liftsReturning)
 {
     Lane lane;
-    lane.liftsReturning = liftsReturning;
     TokenCount served = 0;
     for (int i = 0; i < 400; ++i) {
         const bool hasBoth = i >= 200;
@@ -34,6 +33,8 @@
             request.team = TeamId(std::to_string(team));
             request.promptTokens = 100;
             request.deadline = 1'000'000_ms;
+            if (!liftsReturning)
+                lane.floor = 0; // the mutation: nobody is lifted to where the others stand
             push(lane, request, 1);
         }
         const Request next = popFront(lane);
--- a/tests/parts/overload_policy_test.cpp
+++ b/tests/parts/overload_policy_test.cpp
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "support/small_fleet.h"
+#include "small_fleet.h"
 
 using namespace egretmount;
 using namespace egretmount::literals;
--- a/tests/processes/command_line_test.cpp
+++ b/tests/processes/command_line_test.cpp
@@ -96,6 +96,11 @@
     Process onUsedPort("egretmount-fake-target", { "--target_address=" + fleet.engineAddress(0) },
                        fleet.folder() + "/used.log");
     CHECK(onUsedPort.wait() == 3);
+    Process onUsedRpcPort("egretmount-entry",
+                          { "--settings=" + fleet.folder() + "/entry-0.ini",
+                            "--instance_httpAddress=127.0.0.1:17312" },
+                          fleet.folder() + "/used-rpc.log");
+    CHECK(onUsedRpcPort.wait() == 3);
     Process badSetting("egretmount-entry", { "--limits_maxRequests=none" },
                        fleet.folder() + "/bad.log");
     CHECK(badSetting.wait() == 2);
@@ -103,3 +108,18 @@
     const std::string log { std::istreambuf_iterator<char>(stream), {} };
     CHECK(contains(log, "maxRequests=none: expected an integer from 1 to 10000 requests"));
 }
+
+TEST_CASE("operators' pages keep to the operators' address if there is one")
+{
+    const std::string pages = "127.0.0.1:17313";
+    FleetOptions options;
+    options.instances = 1;
+    options.engines = 1;
+    options.entrySettings = "[operators]\naddress=" + pages + "\n";
+    Fleet fleet(options);
+    fleet.waitReady();
+    for (const char *path : { "/metrics", "/v1/status", "/v1/explain?service=llm" }) {
+        CHECK(http::fetch(pages, path, 3'000_ms)->status() == 200);
+        CHECK(http::fetch(fleet.entryAddress(0), path, 3'000_ms)->status() == 404);
+    }
+}
