--- /dev/null
+++ b/examples/admission_estimate.cpp
@@ -0,0 +1,17 @@
+// The tokens of a prompt are estimated from its bytes, by what engines have reported of others.
+
+#include <iostream>
+
+#include <egretmount/admission/token_estimate.h>
+
+int main()
+{
+    using namespace egretmount;
+    const ServiceId service("egret-llm");
+    const TeamId team("review-north");
+    admission::TokenEstimator estimator;
+    std::cout << admission::estimateTokens(estimator, service, team, 40'000) << '\n';
+    for (int i = 0; i < 16; ++i)
+        admission::noteUsage(estimator, service, team, 40'000, 12'000);
+    std::cout << admission::estimateTokens(estimator, service, team, 40'000) << '\n';
+}
