--- /dev/null
+++ b/apps/node/directory_service.cpp
@@ -0,0 +1,73 @@
+#include "directory_service.h"
+
+#include <algorithm>
+
+#include "fleet_service.h"
+#include "peer_service.h"
+#include "platform/documents.h"
+#include "platform/messages.h"
+
+namespace egretmount::node {
+
+namespace {
+
+// Callers keep a directory answer this long: short enough to leave a stopping instance before it
+// ends, long enough that questions cost little beside requests.
+constexpr Milliseconds directoryLife = Milliseconds(2'000);
+constexpr std::size_t maxAddresses = 64; // of one answer
+
+} // namespace
+
+DirectoryService::DirectoryService(net::Reactor &reactor, kernel::Registry &registry)
+    : m_reactor(reactor)
+    , m_registry(registry)
+{ }
+
+void DirectoryService::start()
+{
+    m_fleet = &m_registry.find<FleetService>();
+    m_peers = &m_registry.find<PeerService>();
+    const fleet::InstanceSettings &settings = m_fleet->settings();
+    const net::Listener::Accept accept = [this](const Poco::Net::StreamSocket &socket) {
+        net::ServerConnection::serve(m_reactor, socket, *this);
+    };
+    m_directoryListener = net::Listener::open(m_reactor, settings.directoryAddress, accept);
+    m_readinessListener = net::Listener::open(m_reactor, settings.readinessAddress, accept);
+    if (!settings.controlAddress.empty())
+        m_controlListener = net::Listener::open(m_reactor, settings.controlAddress, accept);
+}
+
+void DirectoryService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
+                                 http::RequestHead head, std::string)
+{
+    if (platform::isDirectoryPath(head.target)) {
+        connection->answer(200, http::reasonPhrase(200), "Content-Type: application/json\r\n",
+                           directoryAnswer());
+    } else if (platform::isReadinessPath(head.target)) {
+        const bool isReady = !m_isStopping && m_fleet->configuration() != nullptr;
+        const int status = isReady ? 200 : 503;
+        connection->answer(status, http::reasonPhrase(status), {}, {});
+    } else {
+        connection->answer(404, http::reasonPhrase(404), {}, {});
+    }
+}
+
+std::string DirectoryService::directoryAnswer() const
+{
+    const fleet::InstanceSettings &settings = m_fleet->settings();
+    const std::string port = settings.callerAddress.substr(settings.callerAddress.find(':'));
+    std::vector<std::string> addresses;
+    for (const std::string &host : m_peers->servingHosts())
+        addresses.push_back(host + port);
+    // Beyond the limit each instance names a part that begins at itself, so all are named somewhere.
+    if (addresses.size() > maxAddresses) {
+        const auto own = std::lower_bound(addresses.begin(), addresses.end(),
+                                          settings.callerAddress);
+        std::rotate(addresses.begin(), own, addresses.end());
+        addresses.resize(maxAddresses);
+    }
+    return platform::directoryBody(addresses,
+                                   std::min(directoryLife, settings.longestDirectoryLife));
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/directory_service.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+
+#include "kernel/service.h"
+#include "net/server_connection.h"
+
+namespace egretmount::node {
+
+class FleetService;
+class PeerService;
+
+/// @brief Tells callers which instances to use, and the platform whether this one is ready.
+class DirectoryService : public kernel::Service, public net::RequestHandler
+{
+public:
+    static constexpr std::string_view serviceName = "directory";
+
+    DirectoryService(net::Reactor &reactor, kernel::Registry &registry);
+
+    std::string_view name() const override { return serviceName; }
+    void start() override;
+
+    /// @brief From now on this instance says that it is not ready.
+    void setStopping() { m_isStopping = true; }
+
+private:
+    void onRequest(const std::shared_ptr<net::ServerConnection> &connection,
+                   http::RequestHead head, std::string body) override;
+    std::string directoryAnswer() const;
+
+    net::Reactor &m_reactor;
+    kernel::Registry &m_registry;
+    FleetService *m_fleet = nullptr;
+    PeerService *m_peers = nullptr;
+    std::shared_ptr<net::Listener> m_directoryListener;
+    std::shared_ptr<net::Listener> m_readinessListener;
+    std::shared_ptr<net::Listener> m_controlListener;
+    bool m_isStopping = false;
+};
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/exchange.cpp
@@ -0,0 +1,478 @@
+#include "exchange.h"
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+#include "fleet_service.h"
+#include "ingress_service.h"
+#include "target_pool.h"
+
+namespace egretmount::node {
+
+namespace {
+
+using limits::NextStep;
+using limits::SendFailure;
+
+// An answer without events is passed on as a whole up to this size, so that a torn one can be
+// repeated; larger ones are passed on as they come.
+constexpr std::size_t maxBuffered = 256 * 1024;
+// A caller that takes nothing while this much waits for it is broken off.
+constexpr std::size_t maxUnsent = 2 * 1024 * 1024;
+// Callers abandon a stream after the longest of this time, four latency targets and eight pauses.
+constexpr Milliseconds leastPatience = Milliseconds(2'000);
+constexpr int patienceTargets = 4;
+constexpr int patiencePauses = 8;
+// How often a send is checked for silence.
+constexpr Milliseconds silenceCheck = Milliseconds(150);
+// A target that sends nothing on any connection for this long may be gone. A living one sends an
+// event to some stream at least every few hundred milliseconds.
+constexpr Milliseconds silentTarget = Milliseconds(700);
+// An idempotent request is repeated elsewhere if nothing has come after this share of its time:
+// late enough for a busy target, early enough for a second one.
+constexpr double plainSilenceShare = 0.5;
+// When to come back after a send that did not run: some other target may have room at once.
+constexpr Milliseconds declinedDelay = Milliseconds(250);
+// When to come back to an instance that stops: another one can be asked at once.
+constexpr Milliseconds stoppingDelay = Milliseconds(50);
+constexpr Milliseconds unknownConfigurationDelay = Milliseconds(500);
+
+Milliseconds patienceOf(const fleet::Route &route)
+{
+    return std::max({ leastPatience, route.latencyTarget * patienceTargets,
+                      route.pauseTarget * patiencePauses });
+}
+
+} // namespace
+
+Exchange::Exchange(const ExchangeServices &services,
+                   std::shared_ptr<net::ServerConnection> connection, http::RequestHead head,
+                   std::string body)
+    : m_services(services)
+    , m_connection(std::move(connection))
+    , m_requestHead(std::move(head))
+    , m_body(std::move(body))
+    , m_caller(platform::readCallerFields(m_requestHead))
+    , m_arrivedAt(services.reactor.now())
+    , m_send(services.reactor, services.targets, *this)
+{ }
+
+Exchange::~Exchange()
+{
+    m_services.reactor.cancel(m_endTimer);
+    m_services.reactor.cancel(m_silenceTimer);
+}
+
+void Exchange::start(std::shared_ptr<const fleet::Configuration> configuration, double serviceDraw)
+{
+    m_configuration = std::move(configuration);
+    if (!checkRequest())
+        return;
+    m_service = fleet::findService(*m_configuration, fleet::chooseService(*m_route, serviceDraw));
+    if (m_service == nullptr) {
+        answerNotRun("service-unknown", unknownConfigurationDelay);
+        return;
+    }
+    Milliseconds life = m_route->timeout > Milliseconds() ? m_route->timeout
+                                                          : m_caller.deadline.value_or(Milliseconds(10'000));
+    if (m_caller.deadline)
+        life = std::min(life, *m_caller.deadline);
+    m_endsAt = m_arrivedAt + life;
+    m_services.ingress.noteRequest(m_service->id);
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_connection->onGone([weak] {
+        if (const std::shared_ptr<Exchange> self = weak.lock())
+            self->onCallerGone();
+    });
+    m_endTimer = m_services.reactor.after(life, [weak] {
+        if (const std::shared_ptr<Exchange> self = weak.lock())
+            self->onTimeUp();
+    });
+    send();
+}
+
+bool Exchange::checkRequest()
+{
+    if (!m_configuration) {
+        answerNotRun("no-configuration", unknownConfigurationDelay);
+        return false;
+    }
+    const std::string host(
+        http::fieldValue(m_requestHead.fields, "Host").value_or(std::string_view()));
+    m_route = fleet::findRoute(*m_configuration, host, m_requestHead.target);
+    if (m_route == nullptr) {
+        answerOwn(404, "unknown-route");
+        return false;
+    }
+    if (m_configuration->hasTeams && !m_route->isPublic) {
+        const fleet::Team *team = fleet::findTeam(*m_configuration, m_caller.key);
+        if (team == nullptr) {
+            answerOwn(401, "unknown-key");
+            return false;
+        }
+        m_team = team->id;
+    }
+    if (m_caller.requestId.empty()) {
+        answerOwn(400, "no-request-id");
+        return false;
+    }
+    return true;
+}
+
+Milliseconds Exchange::timeLeft() const
+{
+    return std::max(m_endsAt - m_services.reactor.now(), Milliseconds());
+}
+
+tl::expected<Placement, Refusal> Exchange::place()
+{
+    if (!m_service->engine || m_caller.promptTokens == 0)
+        return m_services.placement.placePlain(*m_service, m_failedTargets);
+    placement::Demand demand;
+    demand.promptTokens = m_caller.promptTokens;
+    demand.answerTokens = m_caller.answerTokens;
+    demand.weight = placement::weightOf(*m_service->engine, m_caller.promptTokens);
+    demand.latencyTarget = m_route->latencyTarget;
+    demand.pauseTarget = m_route->pauseTarget;
+    demand.patience = std::min(timeLeft(), patienceOf(*m_route));
+    return m_services.placement.placePrompt(*m_service, demand, m_failedTargets, timeLeft());
+}
+
+void Exchange::send()
+{
+    const tl::expected<Placement, Refusal> placed = place();
+    if (!placed) {
+        LOG(INFO) << "placement: refused id=" << m_caller.requestId
+                  << " reason=" << nameOf(placed.error().reason)
+                  << " tokens=" << m_caller.promptTokens << " left_ms=" << timeLeft().count()
+                  << " retry_after_ms=" << placed.error().retryAfter.count();
+        if (m_history.hasAnswerBegun)
+            breakOff("nowhere-to-resume");
+        else if (m_hasFallback)
+            passBuffered();
+        else if (limits::verdictOf(m_history) == Verdict::NotRun)
+            answerNotRun(nameOf(placed.error().reason), placed.error().retryAfter);
+        else
+            answerOwn(502, "target-failed");
+        return;
+    }
+    sendTo(*placed);
+}
+
+void Exchange::sendTo(const Placement &placement)
+{
+    m_placement = placement;
+    m_isWriting = false;
+    platform::ForwardFields fields;
+    fields.target = placement.target.id;
+    fields.team = m_team;
+    fields.timeLeft = timeLeft();
+    fields.helperAddresses = placement.helperAddresses;
+    if (m_history.hasAnswerBegun && !m_scanner.lastId.empty())
+        fields.resumeAfter = m_scanner.lastId;
+    m_scanner.partial.clear();
+    m_buffer.clear();
+    LOG(INFO) << "placement: sent id=" << m_caller.requestId << " target=" << placement.target.id.value
+              << " helpers=" << placement.helperAddresses.size()
+              << " tokens=" << m_caller.promptTokens << " expected_ms=" << placement.expectedMs
+              << " left_ms=" << fields.timeLeft.count() << " sends=" << m_history.sends
+              << " config=" << m_configuration->version;
+    const bool mustBeFresh = m_route->repetition == fleet::Repetition::AtMostOnce
+        || (m_route->repetition == fleet::Repetition::Stream && !m_route->isResumable);
+    m_sentAt = m_lastEventAt = m_services.reactor.now();
+    m_send.start(placement.target,
+                 platform::forwardedHead(m_requestHead, fields, m_body.size()) + m_body,
+                 m_requestHead.method, m_caller.requestId, mustBeFresh);
+    watchSilence();
+}
+
+void Exchange::onRequestSent()
+{
+    ++m_history.sends;
+    ++m_history.mayHaveRun;
+}
+
+void Exchange::onAnswerHead(http::ResponseHead head)
+{
+    m_answerHead = std::move(head);
+    m_isEventStream
+        = m_route->repetition == fleet::Repetition::Stream && m_answerHead.status == 200;
+    m_buffer.clear();
+}
+
+void Exchange::onAnswerBytes(std::string bytes)
+{
+    if (m_isEventStream) {
+        passEvents(bytes);
+        return;
+    }
+    m_buffer += bytes;
+    const bool isBegun = m_history.hasAnswerBegun;
+    if (!isBegun && m_buffer.size() <= maxBuffered)
+        return;
+    if (!isBegun) {
+        m_history.hasAnswerBegun = true;
+        m_connection->beginAnswer(m_answerHead.status, m_answerHead.reason,
+                                  answerFields(m_answerHead));
+    }
+    m_connection->sendPiece(m_buffer);
+    m_buffer.clear();
+}
+
+void Exchange::passEvents(const std::string &bytes)
+{
+    const std::string events = http::takeEvents(m_scanner, bytes);
+    if (events.empty())
+        return;
+    const Milliseconds now = m_services.reactor.now();
+    m_lastEventAt = now;
+    if (!m_isWriting) {
+        m_isWriting = true;
+        m_services.placement.noteWriting(m_placement.work);
+    }
+    if (!m_history.hasAnswerBegun) {
+        m_history.hasAnswerBegun = true;
+        m_firstEventAt = now;
+        m_connection->beginAnswer(m_answerHead.status, m_answerHead.reason,
+                                  answerFields(m_answerHead));
+    }
+    m_connection->sendPiece(events);
+    if (m_connection->unsent() > maxUnsent)
+        breakOff("caller-too-slow");
+}
+
+std::string Exchange::answerFields(const http::ResponseHead &head) const
+{
+    std::string fields;
+    for (const http::Field &field : http::endToEndFields(head.fields))
+        http::appendField(fields, field.name, field.value);
+    return fields;
+}
+
+void Exchange::onAnswerComplete()
+{
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    endSend();
+    const placement::EngineKey key = keyOf(m_placement.target.id);
+    if (m_isEventStream && !m_scanner.partial.empty()) {
+        // The answer ended in the middle of an event: the target broke off.
+        handleFailure(SendFailure::Broken);
+        return;
+    }
+    if (m_answerHead.status >= 500) {
+        m_services.targets.noteFailure(key, false);
+        if (!m_history.hasAnswerBegun) {
+            m_hasFallback = true;
+            m_fallbackHead = m_answerHead;
+            m_fallbackBody = m_buffer;
+            handleFailure(SendFailure::FailedRun);
+            return;
+        }
+    } else {
+        m_services.targets.noteSuccess(key);
+    }
+    if (m_history.hasAnswerBegun) {
+        m_connection->endAnswer();
+    } else if (m_isEventStream) {
+        m_connection->beginAnswer(m_answerHead.status, m_answerHead.reason,
+                                  answerFields(m_answerHead));
+        m_connection->endAnswer();
+    } else {
+        m_connection->answer(m_answerHead.status, m_answerHead.reason, answerFields(m_answerHead),
+                             m_buffer);
+    }
+    finish(m_answerHead.status, "answered");
+}
+
+void Exchange::passBuffered()
+{
+    m_connection->answer(m_fallbackHead.status, m_fallbackHead.reason,
+                         answerFields(m_fallbackHead), m_fallbackBody);
+    finish(m_fallbackHead.status, "target-failure-passed-on");
+}
+
+void Exchange::onSendFailed(SendFailure failure, const std::string &faultyAddress)
+{
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    endSend();
+    if (failure == SendFailure::Declined) {
+        --m_history.mayHaveRun;
+        if (!faultyAddress.empty() && faultyAddress != m_placement.target.address)
+            m_services.ingress.noteFaultyAddress(faultyAddress);
+    } else {
+        m_services.targets.noteFailure(keyOf(m_placement.target.id),
+                                       failure == SendFailure::NotSent);
+    }
+    m_failedTargets.insert(m_placement.target.id);
+    handleFailure(failure);
+}
+
+void Exchange::handleFailure(SendFailure failure)
+{
+    const NextStep step = limits::nextStep(*m_route, failure, m_history);
+    const bool isSendAgain = step == NextStep::SendAgain || step == NextStep::ResumeElsewhere;
+    // Only what reached a target before counts as a repeat.
+    const bool isRepeat = m_history.sends > 0;
+    const bool isAllowed = isSendAgain && timeLeft() > Milliseconds()
+        && (!isRepeat || m_services.ingress.takeRepeat(m_service->id));
+    LOG(INFO) << "exchange: send failed id=" << m_caller.requestId
+              << " target=" << m_placement.target.id.value << " failure=" << nameOf(failure)
+              << " reused=" << m_send.isReused() << " sends=" << m_history.sends
+              << " events=" << m_scanner.count << " step=" << nameOf(step)
+              << " allowed=" << isAllowed;
+    m_failedTargets.insert(m_placement.target.id);
+    if (isAllowed)
+        send();
+    else if (m_history.hasAnswerBegun)
+        breakOff("target-broke-off");
+    else if (m_hasFallback)
+        passBuffered();
+    else if (limits::verdictOf(m_history) == Verdict::NotRun)
+        answerNotRun("not-run", declinedDelay);
+    else
+        answerOwn(502, "target-failed");
+}
+
+void Exchange::watchSilence()
+{
+    m_services.reactor.cancel(m_silenceTimer);
+    if (m_route->repetition == fleet::Repetition::AtMostOnce)
+        return;
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_silenceTimer = m_services.reactor.after(silenceCheck, [weak] {
+        if (const std::shared_ptr<Exchange> self = weak.lock()) {
+            self->m_silenceTimer = 0;
+            self->onSilent();
+        }
+    });
+}
+
+void Exchange::onSilent()
+{
+    if (m_isOver)
+        return;
+    const Milliseconds now = m_services.reactor.now();
+    const Milliseconds quiet = now - m_lastEventAt;
+    const limits::NextStep step = limits::nextStep(*m_route, SendFailure::Broken, m_history);
+    const bool mayMove = step == NextStep::SendAgain || step == NextStep::ResumeElsewhere;
+    bool isSilent = false;
+    if (m_placement.work == 0) {
+        isSilent = quiet.count() > plainSilenceShare * static_cast<double>((m_endsAt - m_arrivedAt).count());
+    } else {
+        const TargetHealth &health = m_services.targets.health(keyOf(m_placement.target.id));
+        const Milliseconds heard = now - std::max(health.lastHeard, m_sentAt);
+        const double allowed = m_isWriting
+            ? std::max<double>(3.0 * static_cast<double>(m_route->pauseTarget.count()), 900)
+            : 2.5 * m_placement.expectedMs + 600;
+        isSilent = heard > silentTarget && static_cast<double>(quiet.count()) > allowed;
+    }
+    if (!isSilent || !mayMove) {
+        watchSilence();
+        return;
+    }
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    LOG(INFO) << "exchange: target silent id=" << m_caller.requestId
+              << " target=" << m_placement.target.id.value << " quiet_ms=" << quiet.count();
+    m_send.cancel();
+    endSend();
+    m_services.targets.noteFailure(keyOf(m_placement.target.id), m_placement.work != 0);
+    handleFailure(SendFailure::Broken);
+}
+
+void Exchange::endSend()
+{
+    m_services.reactor.cancel(m_silenceTimer);
+    if (m_placement.work != 0) {
+        m_services.placement.noteEnd(m_placement.work);
+        m_placement.work = 0;
+    }
+}
+
+void Exchange::onCallerGone()
+{
+    if (m_isOver)
+        return;
+    m_send.cancel();
+    endSend();
+    finish(0, "caller-gone");
+}
+
+void Exchange::onTimeUp()
+{
+    m_endTimer = 0;
+    if (m_isOver)
+        return;
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    m_send.cancel();
+    endSend();
+    if (m_history.hasAnswerBegun)
+        breakOff("time-up");
+    else if (m_hasFallback)
+        passBuffered();
+    else if (limits::verdictOf(m_history) == Verdict::NotRun)
+        answerNotRun("time-up", declinedDelay);
+    else
+        answerOwn(504, "time-up");
+}
+
+void Exchange::stop()
+{
+    if (m_isOver)
+        return;
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    m_send.cancel();
+    endSend();
+    if (m_history.hasAnswerBegun)
+        breakOff("stopping");
+    else if (limits::verdictOf(m_history) == Verdict::NotRun)
+        answerNotRun("stopping", stoppingDelay);
+    else
+        answerOwn(502, "stopping");
+}
+
+void Exchange::answerNotRun(std::string_view reason, Milliseconds retryAfter)
+{
+    answerOwn(503, reason, retryAfter);
+}
+
+void Exchange::answerOwn(int status, std::string_view reason, Milliseconds retryAfter)
+{
+    std::string fields;
+    platform::appendRequestId(fields, m_caller.requestId);
+    if (retryAfter > Milliseconds())
+        platform::appendRetryAfter(fields, retryAfter);
+    m_connection->answer(status, http::reasonPhrase(status), fields, {});
+    finish(status, reason);
+}
+
+void Exchange::breakOff(std::string_view reason)
+{
+    m_send.cancel();
+    endSend();
+    m_connection->breakOff();
+    finish(0, reason);
+}
+
+void Exchange::finish(int status, std::string_view outcome)
+{
+    if (m_isOver)
+        return;
+    m_isOver = true;
+    m_services.reactor.cancel(m_endTimer);
+    m_services.reactor.cancel(m_silenceTimer);
+    const Milliseconds now = m_services.reactor.now();
+    const Milliseconds first
+        = m_firstEventAt > Milliseconds() ? m_firstEventAt - m_arrivedAt : Milliseconds();
+    LOG(INFO) << "exchange: ended id=" << m_caller.requestId
+              << " route=" << (m_route != nullptr ? m_route->name : "none")
+              << " team=" << m_team.value << " status=" << status << " outcome=" << outcome
+              << " verdict=\"" << nameOf(limits::verdictOf(m_history)) << "\" sends=" << m_history.sends
+              << " events=" << m_scanner.count << " first_ms=" << first.count()
+              << " total_ms=" << (now - m_arrivedAt).count();
+    const std::shared_ptr<Exchange> self = weak_from_this().lock();
+    m_services.reactor.defer([self] { });
+    m_services.ingress.forget(*this);
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/exchange.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include <egretmount/fleet/configuration.h>
+#include <egretmount/http/event_scanner.h>
+#include <egretmount/limits/next_step.h>
+
+#include "net/server_connection.h"
+#include "placement_service.h"
+#include "platform/messages.h"
+#include "target_send.h"
+
+namespace egretmount::node {
+
+class IngressService;
+class TargetPool;
+
+/// @brief The services that an exchange uses.
+struct ExchangeServices
+{
+    net::Reactor &reactor;
+    PlacementService &placement;
+    TargetPool &targets;
+    IngressService &ingress;
+};
+
+/// @brief One request of a caller, from its whole arrival to its final answer.
+class Exchange : public std::enable_shared_from_this<Exchange>, private SendListener
+{
+public:
+    Exchange(const ExchangeServices &services, std::shared_ptr<net::ServerConnection> connection,
+             http::RequestHead head, std::string body);
+    ~Exchange() override;
+
+    /// @brief Checks the request and sends it on.
+    void start(std::shared_ptr<const fleet::Configuration> configuration, double serviceDraw);
+
+    /// @brief Ends the exchange because this instance stops.
+    void stop();
+
+private:
+    void onRequestSent() override;
+    void onAnswerHead(http::ResponseHead head) override;
+    void onAnswerBytes(std::string bytes) override;
+    void onAnswerComplete() override;
+    void onSendFailed(limits::SendFailure failure, const std::string &faultyAddress) override;
+
+    bool checkRequest();
+    void send();
+    void sendTo(const Placement &placement);
+    tl::expected<Placement, Refusal> place();
+    void handleFailure(limits::SendFailure failure);
+    void watchSilence();
+    void onSilent();
+    void onCallerGone();
+    void onTimeUp();
+    void endSend();
+    void passEvents(const std::string &bytes);
+    void passBuffered();
+    void answerOwn(int status, std::string_view reason, Milliseconds retryAfter = Milliseconds());
+    void answerNotRun(std::string_view reason, Milliseconds retryAfter);
+    void breakOff(std::string_view reason);
+    void finish(int status, std::string_view outcome);
+    Milliseconds timeLeft() const;
+    std::string answerFields(const http::ResponseHead &head) const;
+
+    ExchangeServices m_services;
+    std::shared_ptr<net::ServerConnection> m_connection;
+    http::RequestHead m_requestHead;
+    std::string m_body;
+    platform::CallerFields m_caller;
+    std::shared_ptr<const fleet::Configuration> m_configuration;
+    const fleet::Route *m_route = nullptr;
+    const fleet::ServiceSpec *m_service = nullptr;
+    TeamId m_team;
+    Milliseconds m_arrivedAt;
+    Milliseconds m_endsAt;
+    limits::SendHistory m_history;
+    std::set<TargetId> m_failedTargets;
+    Placement m_placement;
+    TargetSend m_send;
+    http::ResponseHead m_answerHead;
+    std::string m_buffer; ///< Body of an answer that is passed on as a whole.
+    bool m_isEventStream = false;
+    http::EventScanner m_scanner;
+    bool m_hasFallback = false; ///< A target's own failure, passed on if no other send does better.
+    http::ResponseHead m_fallbackHead;
+    std::string m_fallbackBody;
+    Milliseconds m_sentAt;
+    Milliseconds m_lastEventAt;
+    Milliseconds m_firstEventAt;
+    net::TimerId m_endTimer = 0;
+    net::TimerId m_silenceTimer = 0;
+    bool m_isWriting = false;
+    bool m_isOver = false;
+};
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/fleet_service.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+
+#include <egretmount/fleet/configuration.h>
+#include <egretmount/fleet/instance_settings.h>
+#include <egretmount/fleet/target_table.h>
+#include <egretmount/placement/ledger.h>
+
+#include "kernel/service.h"
+#include "net/reactor.h"
+#include "platform/documents.h"
+
+namespace egretmount::node {
+
+/// @brief What this instance believes of the fleet: settings, configuration, targets.
+class FleetService : public kernel::Service
+{
+public:
+    static constexpr std::string_view serviceName = "fleet";
+
+    FleetService(net::Reactor &reactor, fleet::InstanceSettings settings);
+
+    std::string_view name() const override { return serviceName; }
+    void start() override;
+
+    const fleet::InstanceSettings &settings() const { return m_settings; }
+    void setSettings(fleet::InstanceSettings settings) { m_settings = std::move(settings); }
+
+    /// @brief The configuration in force. @return Null until the first one has come.
+    const std::shared_ptr<const fleet::Configuration> &configuration() const
+    {
+        return m_configuration;
+    }
+
+    const fleet::TargetTable &table() const { return m_table; }
+
+    /// @brief The target with that key. @return Null if it is not known.
+    const fleet::Target *targetWithKey(placement::EngineKey key) const;
+
+    /// @brief Takes in a change of the platform's store.
+    void apply(const platform::RegistryChange &change);
+
+    /// @brief Takes in a whole listing of the platform's store.
+    void applyListing(const std::vector<platform::RegistryChange> &changes);
+
+    /// @brief Registers who hears that a target has a new run or is gone.
+    void onTargetEnded(std::function<void(const TargetId &)> listener)
+    {
+        m_endListeners.push_back(std::move(listener));
+    }
+
+private:
+    void applyConfiguration(fleet::Configuration configuration);
+    void applyEvacuation(const platform::EvacuationChanged &change);
+    void noteEntry(const fleet::TargetEntry &entry);
+    void noteRemoval(const platform::TargetRemoved &removal);
+    void tellEnded(const TargetId &id);
+
+    net::Reactor &m_reactor;
+    fleet::InstanceSettings m_settings;
+    std::shared_ptr<const fleet::Configuration> m_configuration;
+    fleet::TargetTable m_table;
+    std::unordered_map<placement::EngineKey, TargetId> m_ids;
+    std::vector<std::function<void(const TargetId &)>> m_endListeners;
+};
+
+/// @brief The key of a target in placements and messages.
+placement::EngineKey keyOf(const TargetId &id);
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/ingress_service.cpp
@@ -0,0 +1,118 @@
+#include "ingress_service.h"
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+#include "fleet_service.h"
+#include "peer_service.h"
+#include "placement_service.h"
+#include "target_pool.h"
+
+namespace egretmount::node {
+
+namespace {
+
+constexpr Milliseconds connectionSweep = Milliseconds(1'000);
+// When to come back to an instance that stops: another one can be asked at once.
+constexpr Milliseconds stoppingDelay = Milliseconds(50);
+
+} // namespace
+
+IngressService::IngressService(net::Reactor &reactor, kernel::Registry &registry)
+    : m_reactor(reactor)
+    , m_registry(registry)
+    , m_random(std::random_device()())
+{ }
+
+IngressService::~IngressService() = default;
+
+void IngressService::start()
+{
+    m_fleet = &m_registry.find<FleetService>();
+    m_peers = &m_registry.find<PeerService>();
+    m_placement = &m_registry.find<PlacementService>();
+    m_targets = &m_registry.find<TargetPool>();
+    m_listener = net::Listener::open(m_reactor, m_fleet->settings().callerAddress,
+                                     [this](const Poco::Net::StreamSocket &socket) {
+                                         m_connections.push_back(net::ServerConnection::serve(
+                                             m_reactor, socket, *this));
+                                     });
+    m_reactor.every(connectionSweep, [this] {
+        m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
+                                           [](const std::weak_ptr<net::ServerConnection> &weak) {
+                                               return weak.expired();
+                                           }),
+                            m_connections.end());
+    });
+}
+
+void IngressService::stopAccepting()
+{
+    m_isStopping = true;
+    m_listener->close();
+    for (const std::weak_ptr<net::ServerConnection> &weak : m_connections) {
+        if (const std::shared_ptr<net::ServerConnection> connection = weak.lock())
+            connection->closeIfIdle();
+    }
+}
+
+void IngressService::endAll()
+{
+    std::vector<std::shared_ptr<Exchange>> exchanges;
+    for (const auto &[key, exchange] : m_exchanges)
+        exchanges.push_back(exchange);
+    for (const std::shared_ptr<Exchange> &exchange : exchanges)
+        exchange->stop();
+}
+
+void IngressService::noteRequest(const ServiceId &service)
+{
+    limits::noteRequest(m_budgets[service.value], m_fleet->settings().retryBound,
+                        m_reactor.now());
+}
+
+bool IngressService::takeRepeat(const ServiceId &service)
+{
+    return limits::takeRepeat(m_budgets[service.value], m_fleet->settings().retryBound,
+                              m_peers->livingCount(), m_reactor.now());
+}
+
+void IngressService::noteFaultyAddress(const std::string &address)
+{
+    for (const auto &[id, target] : m_fleet->table().targets) {
+        if (target.entry.address == address)
+            m_targets->noteFailure(keyOf(id), true);
+    }
+}
+
+void IngressService::forget(const Exchange &exchange)
+{
+    m_exchanges.erase(&exchange);
+}
+
+void IngressService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
+                               http::RequestHead head, std::string body)
+{
+    m_lastRequestAt = m_reactor.now();
+    if (m_refusesNew) {
+        std::string fields;
+        platform::appendRetryAfter(fields, stoppingDelay);
+        connection->answer(503, http::reasonPhrase(503), fields, {});
+        LOG(INFO) << "ingress: refused status=503 reason=\"stopping\"";
+        return;
+    }
+    const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
+        ExchangeServices { m_reactor, *m_placement, *m_targets, *this }, connection,
+        std::move(head), std::move(body));
+    m_exchanges.emplace(exchange.get(), exchange);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+    exchange->start(m_fleet->configuration(), draw);
+}
+
+fleet::CallerLimits IngressService::limits() const
+{
+    return m_fleet->configuration() ? m_fleet->configuration()->limits : fleet::CallerLimits();
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/log_sink.cpp
@@ -0,0 +1,56 @@
+#include "log_sink.h"
+
+#include <array>
+#include <cstdio>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace egretmount::node {
+
+namespace {
+
+constexpr std::size_t maxPending = 256 * 1024; // some thousand lines
+constexpr std::size_t warningReserve = 32 * 1024; // for warnings and errors only
+constexpr std::array<char, 4> severityLetters = { 'I', 'W', 'E', 'F' };
+
+} // namespace
+
+LogSink::LogSink()
+{
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void LogSink::send(google::LogSeverity severity, const char *, const char *, int,
+                   const google::LogMessageTime &time, const char *message, std::size_t length)
+{
+    const bool isMinor = severity < google::GLOG_WARNING;
+    if (m_pending.size() + length > maxPending - (isMinor ? warningReserve : 0)) {
+        ++m_dropped;
+        ++m_droppedUntold;
+        return;
+    }
+    std::array<char, 40> prefix {};
+    std::snprintf(prefix.data(), prefix.size(), "%c %02d:%02d:%02d.%06d ",
+                  severityLetters.at(static_cast<std::size_t>(severity)), time.hour(), time.min(),
+                  time.sec(), static_cast<int>(time.usec()));
+    m_pending.append(prefix.data()).append(message, length).push_back('\n');
+}
+
+void LogSink::flush()
+{
+    if (m_droppedUntold > 0 && m_pending.size() < maxPending / 2) {
+        m_pending += "W log: lines dropped count=" + std::to_string(m_droppedUntold) + '\n';
+        m_droppedUntold = 0;
+    }
+    while (!m_pending.empty()) {
+        const ssize_t count = write(STDOUT_FILENO, m_pending.data(), m_pending.size());
+        if (count <= 0)
+            return; // a full pipe is tried again later; the buffer is bounded
+        m_pending.erase(0, static_cast<std::size_t>(count));
+    }
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/log_sink.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <glog/logging.h>
+
+namespace egretmount::node {
+
+/// @brief Writes log lines to standard output without ever blocking.
+///
+/// Lines wait in a bounded buffer. When it is full, lines below the level of a warning are dropped
+/// and counted; the count is written once there is room.
+class LogSink : public google::LogSink
+{
+public:
+    LogSink();
+
+    void send(google::LogSeverity severity, const char *fullFilename, const char *baseFilename,
+              int line, const google::LogMessageTime &time, const char *message,
+              std::size_t length) override;
+    using google::LogSink::send;
+
+    /// @brief Hands as much as possible to the kernel.
+    void flush();
+
+    std::uint64_t dropped() const { return m_dropped; }
+
+private:
+    std::string m_pending;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_droppedUntold = 0;
+};
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/main.cpp
@@ -0,0 +1,91 @@
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <memory>
+
+#include <gflags/gflags.h>
+
+#include "directory_service.h"
+#include "fleet_service.h"
+#include "ingress_service.h"
+#include "kernel/settings.h"
+#include "log_sink.h"
+#include "peer_service.h"
+#include "placement_service.h"
+#include "platform/settings.h"
+#include "registry_sync.h"
+#include "shutdown_service.h"
+#include "target_pool.h"
+
+DEFINE_string(settings, "", "The platform's settings file; empty: the one that the platform names");
+DEFINE_bool(check, false, "Check the settings, print what is wrong with them, and end");
+
+namespace egretmount::node {
+
+namespace {
+
+constexpr Milliseconds logInterval = Milliseconds(50);
+
+void startLogging(const char *program, LogSink &sink)
+{
+    google::InitGoogleLogging(program);
+    for (int severity = google::GLOG_INFO; severity <= google::GLOG_FATAL; ++severity)
+        google::SetLogDestination(severity, ""); // no log files: the machines have no disks
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
+    google::AddLogSink(&sink);
+}
+
+int run(const std::string &path, const fleet::InstanceSettings &settings, LogSink &sink)
+{
+    net::Reactor reactor;
+    kernel::Registry registry;
+    registry.add(std::make_unique<FleetService>(reactor, settings));
+    registry.add(std::make_unique<TargetPool>(reactor, registry));
+    registry.add(std::make_unique<PlacementService>(reactor, registry));
+    registry.add(std::make_unique<PeerService>(reactor, registry));
+    registry.add(std::make_unique<RegistrySync>(reactor, registry, settings.registryAddress));
+    registry.add(std::make_unique<IngressService>(reactor, registry));
+    registry.add(std::make_unique<DirectoryService>(reactor, registry));
+    registry.add(std::make_unique<ShutdownService>(reactor, registry, path));
+    LOG(INFO) << "node: starting instance=" << settings.name << " host=" << settings.host
+              << " zone=" << settings.zone.value;
+    try {
+        registry.startAll();
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "node: cannot start reason=\"" << error.what() << '"';
+        sink.flush();
+        return kernel::exitCannotStart;
+    }
+    reactor.every(logInterval, [&sink] { sink.flush(); });
+    reactor.run();
+    registry.stopAll();
+    LOG(INFO) << "node: stopped instance=" << settings.name;
+    sink.flush();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+} // namespace egretmount::node
+
+int main(int argc, char **argv)
+{
+    using namespace egretmount;
+    gflags::SetUsageMessage("serves one instance of egretmount on the platform");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    node::ShutdownService::catchSignals();
+    node::LogSink sink;
+    node::startLogging(argv[0], sink);
+    const std::string path = FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings;
+    const tl::expected<fleet::InstanceSettings, std::string> settings
+        = platform::readSettings(path);
+    if (!settings) {
+        std::cerr << settings.error() << '\n';
+        return kernel::exitBadSettings;
+    }
+    if (FLAGS_check) {
+        std::cout << "settings of " << settings->name << " are complete\n";
+        return EXIT_SUCCESS;
+    }
+    return node::run(path, *settings, sink);
+}
--- /dev/null
+++ b/apps/node/peer_news.capnp
@@ -0,0 +1,46 @@
+# What the instances tell each other, one message a datagram.
+@0xb7f2c1d85e3a9046;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("egretmount::node::wire");
+
+struct RosterEntry {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  beat @2 :UInt64;
+  isLeaving @3 :Bool;
+}
+
+struct PlacedWork {
+  id @0 :UInt64;
+  engines @1 :List(UInt64);
+  # The first one receives the request, the others help to read its prompt.
+  promptTokens @2 :UInt32;
+  partMs @3 :Float32;
+  weight @4 :Float32;
+  pauseTargetMs @5 :UInt32;
+  ageMs @6 :UInt32;
+  # Since the placement; clocks of instances differ, ages do not.
+  lifeMs @7 :UInt32;
+  # Until nobody waits for it any longer.
+  isWriting @8 :Bool;
+}
+
+struct Distrust {
+  target @0 :UInt64;
+  leftMs @1 :UInt32;
+}
+
+struct News {
+  sender @0 :Text;
+  incarnation @1 :UInt64;
+  roster @2 :List(RosterEntry);
+  # Empty in messages that tell of work only.
+  placed @3 :List(PlacedWork);
+  writing @4 :List(UInt64);
+  ended @5 :List(UInt64);
+  isStatement @6 :Bool;
+  # `placed` holds all work of the sender: what is missing there has ended.
+  registryRevision @7 :Int64;
+  distrusted @8 :List(Distrust);
+}
--- /dev/null
+++ b/apps/node/peer_service.cpp
@@ -0,0 +1,361 @@
+#include "peer_service.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <glog/logging.h>
+
+#include "fleet_service.h"
+#include "peer_news.capnp.h"
+#include "placement_service.h"
+#include "registry_sync.h"
+#include "target_pool.h"
+
+namespace egretmount::node {
+
+namespace {
+
+// A placement is told at once: another one may follow within milliseconds. First events and ends
+// only correct estimates and wait for company.
+constexpr Milliseconds placedDelay = Milliseconds(0);
+constexpr Milliseconds progressDelay = Milliseconds(20);
+// All own work is stated this often; makes good what datagrams lost.
+constexpr Milliseconds statementInterval = Milliseconds(1'000);
+constexpr std::size_t maxDatagram = 32 * 1024;
+constexpr int receivesPerTurn = 64;
+// How long other instances keep off a target that does not answer here.
+constexpr Milliseconds distrustLife = Milliseconds(1'000);
+
+std::string serialized(capnp::MallocMessageBuilder &message)
+{
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+    const kj::ArrayPtr<const char> bytes = words.asChars();
+    return std::string(bytes.begin(), bytes.size());
+}
+
+void writeWork(wire::PlacedWork::Builder out, const placement::Work &work, Milliseconds now)
+{
+    out.setId(work.id);
+    capnp::List<std::uint64_t>::Builder engines = out.initEngines(work.engines.size());
+    for (unsigned i = 0; i < work.engines.size(); ++i)
+        engines.set(i, work.engines[i]);
+    out.setPromptTokens(static_cast<std::uint32_t>(work.promptTokens));
+    out.setPartMs(static_cast<float>(work.partMs));
+    out.setWeight(static_cast<float>(work.weight));
+    out.setPauseTargetMs(static_cast<std::uint32_t>(work.pauseTarget.count()));
+    out.setAgeMs(static_cast<std::uint32_t>((now - work.placedAt).count()));
+    out.setLifeMs(static_cast<std::uint32_t>(std::max<std::int64_t>((work.expiresAt - now).count(), 0)));
+    out.setIsWriting(work.isWriting);
+}
+
+placement::Work readWork(wire::PlacedWork::Reader in, const std::string &owner, Milliseconds now)
+{
+    placement::Work work;
+    work.id = in.getId();
+    work.owner = owner;
+    for (const std::uint64_t engine : in.getEngines())
+        work.engines.push_back(engine);
+    work.promptTokens = in.getPromptTokens();
+    work.partMs = in.getPartMs();
+    work.weight = in.getWeight();
+    work.pauseTarget = Milliseconds(in.getPauseTargetMs());
+    work.placedAt = now - Milliseconds(in.getAgeMs());
+    work.expiresAt = now + Milliseconds(in.getLifeMs());
+    work.isWriting = in.getIsWriting();
+    return work;
+}
+
+} // namespace
+
+/// @brief The datagram socket of the peer service.
+class PeerService::Socket : public net::SocketWatcher
+{
+public:
+    Socket(PeerService &service, const std::string &address)
+        : m_service(service)
+    {
+        m_socket.bind(Poco::Net::SocketAddress(address), true);
+        m_socket.setBlocking(false);
+    }
+
+    const Poco::Net::DatagramSocket &socket() const { return m_socket; }
+
+    void send(const Poco::Net::SocketAddress &to, const std::string &datagram)
+    {
+        try {
+            m_socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), to);
+        } catch (const Poco::Exception &error) {
+            // A lost datagram is made good by the next statement; a full link is not worth a line each.
+            VLOG(1) << "peers: cannot send to=" << to.toString() << " reason=\""
+                    << error.displayText() << '"';
+        }
+    }
+
+    void onReady(bool, bool, bool) override
+    {
+        for (int i = 0; i < receivesPerTurn; ++i) {
+            Poco::Net::SocketAddress sender;
+            int count = 0;
+            try {
+                count = m_socket.receiveFrom(m_buffer.data(), static_cast<int>(m_buffer.size()),
+                                             sender);
+            } catch (const Poco::Exception &error) {
+                VLOG(1) << "peers: cannot receive reason=\"" << error.displayText() << '"';
+                return;
+            }
+            if (count <= 0)
+                return;
+            m_service.receive(sender.host().toString(), m_buffer.data(),
+                              static_cast<std::size_t>(count));
+        }
+    }
+
+private:
+    PeerService &m_service;
+    Poco::Net::DatagramSocket m_socket;
+    alignas(capnp::word) std::array<char, maxDatagram> m_buffer {};
+};
+
+PeerService::PeerService(net::Reactor &reactor, kernel::Registry &registry)
+    : m_reactor(reactor)
+    , m_registry(registry)
+    , m_random(std::random_device()())
+{ }
+
+PeerService::~PeerService() = default;
+
+void PeerService::start()
+{
+    m_fleet = &m_registry.find<FleetService>();
+    m_placement = &m_registry.find<PlacementService>();
+    m_sync = &m_registry.find<RegistrySync>();
+    m_targets = &m_registry.find<TargetPool>();
+    const fleet::InstanceSettings &settings = m_fleet->settings();
+    m_roster.self.host = settings.host;
+    m_roster.self.incarnation = static_cast<Incarnation>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+    m_roster.contacts = settings.contacts;
+    m_socket = std::make_shared<Socket>(
+        *this, settings.host + ':' + std::to_string(settings.firstPeerPort));
+    m_reactor.watch(m_socket->socket(), Poco::Net::PollSet::POLL_READ, m_socket);
+    refreshLiving();
+    sendDigest();
+    m_reactor.every(membership::digestInterval, [this] { sendDigest(); });
+    m_reactor.every(statementInterval, [this] { sendStatement(); });
+}
+
+void PeerService::stop()
+{
+    m_reactor.forget(m_socket->socket());
+}
+
+void PeerService::announceLeaving()
+{
+    m_roster.self.isLeaving = true;
+    refreshLiving();
+    capnp::MallocMessageBuilder message;
+    wire::News::Builder news = message.initRoot<wire::News>();
+    news.setSender(m_roster.self.host);
+    news.setIncarnation(m_roster.self.incarnation);
+    ++m_roster.self.beat;
+    wire::RosterEntry::Builder entry = news.initRoster(1)[0];
+    entry.setHost(m_roster.self.host);
+    entry.setIncarnation(m_roster.self.incarnation);
+    entry.setBeat(m_roster.self.beat);
+    entry.setIsLeaving(true);
+    sendToAll(serialized(message));
+}
+
+void PeerService::tellPlaced(std::uint64_t id)
+{
+    m_placed.push_back(id);
+    scheduleFlush(placedDelay);
+}
+
+void PeerService::tellWriting(std::uint64_t id)
+{
+    m_writing.push_back(id);
+    scheduleFlush(progressDelay);
+}
+
+void PeerService::tellEnded(std::uint64_t id)
+{
+    m_ended.push_back(id);
+    scheduleFlush(progressDelay);
+}
+
+void PeerService::tellDistrust(placement::EngineKey target)
+{
+    m_distrusted.push_back(target);
+    scheduleFlush(placedDelay);
+}
+
+std::vector<std::string> PeerService::servingHosts() const
+{
+    return membership::servingHosts(m_roster, m_reactor.now());
+}
+
+void PeerService::scheduleFlush(Milliseconds delay)
+{
+    const Milliseconds at = m_reactor.now() + delay;
+    if (m_flushTimer != 0 && m_flushAt <= at)
+        return;
+    m_reactor.cancel(m_flushTimer);
+    m_flushAt = at;
+    m_flushTimer = m_reactor.after(delay, [this] {
+        m_flushTimer = 0;
+        flush();
+    });
+}
+
+void PeerService::flush()
+{
+    capnp::MallocMessageBuilder message;
+    wire::News::Builder news = message.initRoot<wire::News>();
+    news.setSender(m_roster.self.host);
+    news.setIncarnation(m_roster.self.incarnation);
+    news.setRegistryRevision(m_sync->revision());
+    std::vector<const placement::Work *> works;
+    for (const std::uint64_t id : m_placed) {
+        if (const placement::Work *work = m_placement->findWork(id))
+            works.push_back(work);
+    }
+    capnp::List<wire::PlacedWork>::Builder placed = news.initPlaced(works.size());
+    for (unsigned i = 0; i < works.size(); ++i)
+        writeWork(placed[i], *works[i], m_reactor.now());
+    capnp::List<std::uint64_t>::Builder writing = news.initWriting(m_writing.size());
+    for (unsigned i = 0; i < m_writing.size(); ++i)
+        writing.set(i, m_writing[i]);
+    capnp::List<std::uint64_t>::Builder ended = news.initEnded(m_ended.size());
+    for (unsigned i = 0; i < m_ended.size(); ++i)
+        ended.set(i, m_ended[i]);
+    capnp::List<wire::Distrust>::Builder distrusted = news.initDistrusted(m_distrusted.size());
+    for (unsigned i = 0; i < m_distrusted.size(); ++i) {
+        distrusted[i].setTarget(m_distrusted[i]);
+        distrusted[i].setLeftMs(static_cast<std::uint32_t>(distrustLife.count()));
+    }
+    m_placed.clear();
+    m_writing.clear();
+    m_ended.clear();
+    m_distrusted.clear();
+    sendToAll(serialized(message));
+}
+
+void PeerService::sendStatement()
+{
+    const std::vector<const placement::Work *> works = m_placement->ownWorks();
+    capnp::MallocMessageBuilder message;
+    wire::News::Builder news = message.initRoot<wire::News>();
+    news.setSender(m_roster.self.host);
+    news.setIncarnation(m_roster.self.incarnation);
+    news.setRegistryRevision(m_sync->revision());
+    news.setIsStatement(true);
+    capnp::List<wire::PlacedWork>::Builder placed = news.initPlaced(works.size());
+    for (unsigned i = 0; i < works.size(); ++i)
+        writeWork(placed[i], *works[i], m_reactor.now());
+    sendToAll(serialized(message));
+}
+
+void PeerService::sendDigest()
+{
+    const Milliseconds now = m_reactor.now();
+    membership::forgetDead(m_roster, now);
+    refreshLiving();
+    const std::vector<membership::RosterEntry> digest = membership::makeDigest(m_roster, now);
+    capnp::MallocMessageBuilder message;
+    wire::News::Builder news = message.initRoot<wire::News>();
+    news.setSender(m_roster.self.host);
+    news.setIncarnation(m_roster.self.incarnation);
+    news.setRegistryRevision(m_sync->revision());
+    capnp::List<wire::RosterEntry>::Builder roster = news.initRoster(digest.size());
+    for (unsigned i = 0; i < digest.size(); ++i) {
+        roster[i].setHost(digest[i].host);
+        roster[i].setIncarnation(digest[i].incarnation);
+        roster[i].setBeat(digest[i].beat);
+        roster[i].setIsLeaving(digest[i].isLeaving);
+    }
+    const std::string datagram = serialized(message);
+    for (const std::string &host : membership::digestReceivers(m_roster, now, m_random()))
+        send(host, datagram);
+}
+
+void PeerService::refreshLiving()
+{
+    std::vector<InstanceId> living;
+    for (const std::string &host : membership::livingHosts(m_roster, m_reactor.now()))
+        living.emplace_back(host);
+    if (living == m_living)
+        return;
+    for (const InstanceId &before : m_living) {
+        if (!std::binary_search(living.begin(), living.end(), before)) {
+            LOG(INFO) << "peers: instance lost host=" << before.value;
+            m_placement->forgetOwner(before.value);
+        }
+    }
+    m_living = std::move(living);
+    LOG(INFO) << "peers: living instances=" << m_living.size();
+}
+
+void PeerService::receive(const std::string &sender, const char *data, std::size_t size)
+{
+    if (size % sizeof(capnp::word) != 0) {
+        LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " bytes=" << size;
+        return;
+    }
+    const Milliseconds now = m_reactor.now();
+    try {
+        capnp::FlatArrayMessageReader message(kj::arrayPtr(
+            reinterpret_cast<const capnp::word *>(data), size / sizeof(capnp::word)));
+        const wire::News::Reader news = message.getRoot<wire::News>();
+        const std::string host = news.getSender();
+        std::vector<membership::RosterEntry> digest;
+        for (const wire::RosterEntry::Reader entry : news.getRoster())
+            digest.push_back({ entry.getHost(), entry.getIncarnation(), entry.getBeat(),
+                               entry.getIsLeaving() });
+        for (const std::string &changed : membership::noteDigest(m_roster, digest, now))
+            m_placement->forgetOwner(changed);
+        std::vector<std::uint64_t> stated;
+        for (const wire::PlacedWork::Reader placed : news.getPlaced()) {
+            stated.push_back(placed.getId());
+            m_placement->noteRemoteWork(readWork(placed, host, now));
+        }
+        for (const std::uint64_t id : news.getWriting())
+            m_placement->noteRemoteWriting(id);
+        for (const std::uint64_t id : news.getEnded())
+            m_placement->noteRemoteEnd(id);
+        if (news.getIsStatement()) {
+            std::sort(stated.begin(), stated.end());
+            m_placement->keepStated(host, stated);
+        }
+        for (const wire::Distrust::Reader distrust : news.getDistrusted())
+            m_targets->distrustUntil(distrust.getTarget(), now + Milliseconds(distrust.getLeftMs()));
+        m_sync->noteLaterRevision(news.getRegistryRevision());
+    } catch (const kj::Exception &error) {
+        LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " reason=\""
+                     << error.getDescription().cStr() << '"';
+    }
+}
+
+void PeerService::sendToAll(const std::string &datagram)
+{
+    for (const InstanceId &instance : m_living) {
+        if (instance.value != m_roster.self.host)
+            send(instance.value, datagram);
+    }
+}
+
+void PeerService::send(const std::string &host, const std::string &datagram)
+{
+    m_socket->send(Poco::Net::SocketAddress(
+                       host, static_cast<Poco::UInt16>(m_fleet->settings().firstPeerPort)),
+                   datagram);
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/placement_service.cpp
@@ -0,0 +1,238 @@
+#include "placement_service.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <glog/logging.h>
+
+#include "fleet_service.h"
+#include "peer_service.h"
+#include "target_pool.h"
+
+namespace egretmount::node {
+
+namespace {
+
+// Costs of a candidate, as shares of the request's weight.
+constexpr double unlistedPenalty = 0.5; // may have left already
+constexpr double coldPenalty = 0.3; // slow for its first seconds
+constexpr double failurePenalty = 1; // times the share of recent sends that failed
+constexpr double otherZonePenalty = 0.001; // breaks ties; a hop costs a millisecond or two
+// A request is refused if its answer is expected later than this share of the caller's patience:
+// the estimate is off by a fifth or so.
+constexpr double patienceShare = 0.9;
+// When to come back if no target is known: targets register again within about two seconds.
+constexpr Milliseconds noTargetDelay = Milliseconds(1'000);
+constexpr Milliseconds fullDelay = Milliseconds(400); // about a quarter of an answer's writing time
+constexpr Milliseconds ledgerSweep = Milliseconds(250);
+
+Milliseconds roundedUp(double milliseconds)
+{
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(milliseconds)));
+}
+
+} // namespace
+
+PlacementService::PlacementService(net::Reactor &reactor, kernel::Registry &registry)
+    : m_reactor(reactor)
+    , m_registry(registry)
+    , m_random(std::random_device()())
+    , m_nextWork(m_random())
+{ }
+
+void PlacementService::start()
+{
+    m_fleet = &m_registry.find<FleetService>();
+    m_peers = &m_registry.find<PeerService>();
+    m_targets = &m_registry.find<TargetPool>();
+    m_reactor.every(ledgerSweep,
+                    [this] { placement::removeExpired(m_ledger, m_reactor.now()); });
+}
+
+std::vector<const fleet::Target *>
+PlacementService::usableTargets(const ServiceId &service, const std::set<TargetId> &excluded) const
+{
+    std::vector<const fleet::Target *> trusted;
+    std::vector<const fleet::Target *> distrusted;
+    for (const auto &[id, target] : m_fleet->table().targets) {
+        if (target.entry.service != service || excluded.count(id) > 0
+            || !fleet::isUsable(m_fleet->table(), target))
+            continue;
+        (m_targets->isDistrusted(keyOf(id)) ? distrusted : trusted).push_back(&target);
+    }
+    // With nobody left to trust, a doubtful target is better than a refusal.
+    return trusted.empty() ? distrusted : trusted;
+}
+
+placement::Candidate PlacementService::candidateOf(const fleet::Target &target,
+                                                   const fleet::ServiceSpec &service,
+                                                   double weight) const
+{
+    placement::Candidate candidate;
+    candidate.key = keyOf(target.entry.id);
+    const TargetHealth &health = m_targets->health(candidate.key);
+    candidate.penalty = failurePenalty * health.failureRate;
+    if (target.isUnlisted)
+        candidate.penalty += unlistedPenalty;
+    if (target.entry.zone != m_fleet->settings().zone)
+        candidate.penalty += otherZonePenalty;
+    if (fleet::isCold(target, m_reactor.now())) {
+        candidate.penalty += coldPenalty;
+        candidate.mayHelp = false;
+        candidate.mayReceive
+            = limits::coldShare(target.entry.id, service.coldRequestsPerSecond,
+                                InstanceId(m_fleet->settings().host), m_peers->living())
+            > 0;
+    }
+    candidate.penalty *= weight;
+    return candidate;
+}
+
+tl::expected<Placement, Refusal>
+PlacementService::placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
+                              const std::set<TargetId> &excluded, Milliseconds life)
+{
+    const Milliseconds now = m_reactor.now();
+    std::set<TargetId> unavailable = excluded;
+    while (true) {
+        const std::vector<const fleet::Target *> targets
+            = usableTargets(service.id, unavailable);
+        if (targets.empty())
+            return tl::unexpected(Refusal { RefusalReason::NoTarget, noTargetDelay });
+        std::vector<placement::Candidate> candidates;
+        for (const fleet::Target *target : targets)
+            candidates.push_back(candidateOf(*target, service, demand.weight));
+        const std::optional<placement::Plan> plan
+            = placement::planPlacement(m_ledger, *service.engine, candidates, demand, now);
+        if (!plan)
+            return tl::unexpected(Refusal { RefusalReason::AllFull, fullDelay });
+        const double latest = patienceShare * static_cast<double>(demand.patience.count());
+        if (plan->firstEventMs > latest) {
+            const double wait = plan->firstEventMs
+                - static_cast<double>(demand.latencyTarget.count());
+            return tl::unexpected(Refusal { RefusalReason::TooLate, roundedUp(wait) });
+        }
+        const fleet::Target *first = m_fleet->targetWithKey(plan->engines.front());
+        if (fleet::isCold(*first, now)
+            && !limits::takeColdRequest(m_coldGate, first->entry.id,
+                                        service.coldRequestsPerSecond,
+                                        InstanceId(m_fleet->settings().host), m_peers->living(),
+                                        now)) {
+            unavailable.insert(first->entry.id);
+            continue;
+        }
+        Placement placed;
+        placed.target = first->entry;
+        placed.expectedMs = plan->firstEventMs;
+        for (std::size_t i = 1; i < plan->engines.size(); ++i)
+            placed.helperAddresses.push_back(
+                m_fleet->targetWithKey(plan->engines[i])->entry.address);
+        placement::Work work;
+        work.id = placed.work = ++m_nextWork;
+        work.owner = m_fleet->settings().host;
+        work.engines = plan->engines;
+        work.promptTokens = demand.promptTokens;
+        work.partMs = plan->partMs;
+        work.weight = demand.weight;
+        work.pauseTarget = demand.pauseTarget;
+        work.placedAt = now;
+        work.expiresAt = now + life;
+        placement::addWork(m_ledger, std::move(work), now);
+        m_peers->tellPlaced(placed.work);
+        return placed;
+    }
+}
+
+tl::expected<Placement, Refusal>
+PlacementService::placePlain(const fleet::ServiceSpec &service, const std::set<TargetId> &excluded)
+{
+    const Milliseconds now = m_reactor.now();
+    const fleet::Target *best = nullptr;
+    double bestCost = 0;
+    std::uniform_real_distribution<double> tie(0, 0.05);
+    for (const fleet::Target *target : usableTargets(service.id, excluded)) {
+        const placement::Candidate candidate = candidateOf(*target, service, 1);
+        if (!candidate.mayReceive)
+            continue;
+        const double load = static_cast<double>(m_targets->health(candidate.key).inHand)
+            / target->entry.slots;
+        const double cost = load + candidate.penalty + tie(m_random);
+        if (best == nullptr || cost < bestCost) {
+            best = target;
+            bestCost = cost;
+        }
+    }
+    if (best == nullptr)
+        return tl::unexpected(Refusal { RefusalReason::NoTarget, noTargetDelay });
+    if (fleet::isCold(*best, now)
+        && !limits::takeColdRequest(m_coldGate, best->entry.id, service.coldRequestsPerSecond,
+                                    InstanceId(m_fleet->settings().host), m_peers->living(), now))
+        return tl::unexpected(Refusal { RefusalReason::AllFull, fullDelay });
+    Placement placed;
+    placed.target = best->entry;
+    return placed;
+}
+
+void PlacementService::noteWriting(std::uint64_t work)
+{
+    if (work == 0)
+        return;
+    placement::noteWriting(m_ledger, work, true, m_reactor.now());
+    m_peers->tellWriting(work);
+}
+
+void PlacementService::noteEnd(std::uint64_t work)
+{
+    if (work == 0)
+        return;
+    placement::removeWork(m_ledger, work, m_reactor.now());
+    m_peers->tellEnded(work);
+}
+
+void PlacementService::noteRemoteWork(placement::Work work)
+{
+    const bool isWriting = work.isWriting;
+    const std::uint64_t id = work.id;
+    placement::addWork(m_ledger, std::move(work), m_reactor.now());
+    if (isWriting)
+        placement::noteWriting(m_ledger, id, false, m_reactor.now());
+}
+
+void PlacementService::noteRemoteWriting(std::uint64_t id)
+{
+    placement::noteWriting(m_ledger, id, false, m_reactor.now());
+}
+
+void PlacementService::noteRemoteEnd(std::uint64_t id)
+{
+    placement::removeWork(m_ledger, id, m_reactor.now());
+}
+
+void PlacementService::keepStated(const std::string &owner,
+                                  const std::vector<std::uint64_t> &stated)
+{
+    placement::keepStated(m_ledger, owner, stated, m_reactor.now());
+}
+
+void PlacementService::forgetOwner(const std::string &owner)
+{
+    placement::removeWorksOf(m_ledger, owner, m_reactor.now());
+}
+
+const placement::Work *PlacementService::findWork(std::uint64_t id) const
+{
+    const auto found = m_ledger.works.find(id);
+    return found == m_ledger.works.end() ? nullptr : &found->second;
+}
+
+std::vector<const placement::Work *> PlacementService::ownWorks() const
+{
+    std::vector<const placement::Work *> works;
+    for (const auto &[id, work] : m_ledger.works) {
+        if (work.owner == m_fleet->settings().host)
+            works.push_back(&work);
+    }
+    return works;
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/placement_service.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include <egretmount/core/names.h>
+#include <egretmount/fleet/configuration.h>
+#include <egretmount/fleet/target_table.h>
+#include <egretmount/limits/cold_gate.h>
+#include <egretmount/placement/ledger.h>
+#include <egretmount/placement/planner.h>
+
+#include "kernel/service.h"
+#include "net/reactor.h"
+
+namespace egretmount::node {
+
+class FleetService;
+class PeerService;
+class TargetPool;
+
+/// @brief Where one request goes.
+struct Placement
+{
+    fleet::TargetEntry target;
+    std::vector<std::string> helperAddresses; ///< Engines that read a part of the prompt.
+    std::uint64_t work = 0; ///< Its entry in the ledger; zero for plain services.
+    double expectedMs = 0; ///< Until the first event; zero for plain services.
+};
+
+/// @brief Why a request gets no target.
+enum class RefusalReason {
+    NoTarget, ///< No usable target of the service is known.
+    AllFull, ///< No target has a place.
+    TooLate, ///< The answer would begin after the caller has left.
+};
+
+/// @brief A request that is not placed.
+struct Refusal
+{
+    RefusalReason reason = RefusalReason::NoTarget;
+    Milliseconds retryAfter; ///< When a place is expected.
+};
+
+/// @brief Decides where requests go; keeps the ledger of all instances' placements.
+class PlacementService : public kernel::Service
+{
+public:
+    static constexpr std::string_view serviceName = "placement";
+
+    PlacementService(net::Reactor &reactor, kernel::Registry &registry);
+
+    std::string_view name() const override { return serviceName; }
+    void start() override;
+
+    /// @brief Places a request with a prompt and tells the other instances.
+    /// @param excluded Targets that have failed this request.
+    /// @param life How long the request may take.
+    tl::expected<Placement, Refusal> placePrompt(const fleet::ServiceSpec &service,
+                                                 placement::Demand demand,
+                                                 const std::set<TargetId> &excluded,
+                                                 Milliseconds life);
+
+    /// @brief Places a request without a prompt.
+    tl::expected<Placement, Refusal> placePlain(const fleet::ServiceSpec &service,
+                                                const std::set<TargetId> &excluded);
+
+    /// @brief The first event of a work placed here has come.
+    void noteWriting(std::uint64_t work);
+
+    /// @brief A work placed here has ended.
+    void noteEnd(std::uint64_t work);
+
+    /// @name What other instances tell
+    /// @{
+    void noteRemoteWork(placement::Work work);
+    void noteRemoteWriting(std::uint64_t id);
+    void noteRemoteEnd(std::uint64_t id);
+    void keepStated(const std::string &owner, const std::vector<std::uint64_t> &stated);
+    void forgetOwner(const std::string &owner);
+    /// @}
+
+    const placement::Work *findWork(std::uint64_t id) const;
+    std::vector<const placement::Work *> ownWorks() const;
+
+private:
+    std::vector<const fleet::Target *> usableTargets(const ServiceId &service,
+                                                     const std::set<TargetId> &excluded) const;
+    placement::Candidate candidateOf(const fleet::Target &target,
+                                     const fleet::ServiceSpec &service, double weight) const;
+
+    net::Reactor &m_reactor;
+    kernel::Registry &m_registry;
+    FleetService *m_fleet = nullptr;
+    PeerService *m_peers = nullptr;
+    TargetPool *m_targets = nullptr;
+    placement::Ledger m_ledger;
+    limits::ColdGate m_coldGate;
+    std::mt19937_64 m_random;
+    std::uint64_t m_nextWork;
+};
+
+} // namespace egretmount::node
+
+template<>
+struct egretmount::NameTable<egretmount::node::RefusalReason>
+{
+    using RefusalReason = egretmount::node::RefusalReason;
+    static constexpr std::array<NameEntry<RefusalReason>, 3> entries { {
+        { RefusalReason::NoTarget, "no-target" },
+        { RefusalReason::AllFull, "all-full" },
+        { RefusalReason::TooLate, "too-late" },
+    } };
+};
--- /dev/null
+++ b/apps/node/registry_sync.cpp
@@ -0,0 +1,160 @@
+#include "registry_sync.h"
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+#include "fleet_service.h"
+#include "peer_service.h"
+
+namespace egretmount::node {
+
+namespace {
+
+// How long a watch waits. A store that fell silent under a watch is noticed within this time and
+// the call's time-out: early enough for the bound on configurations after an outage.
+constexpr Milliseconds watchTime = Milliseconds(2'500);
+
+// Changes come in groups; a short pause before the next watch collects them in one answer. The
+// pause grows with the number of instances, as all of them ask after each change.
+constexpr Milliseconds pausePerInstance = Milliseconds(15);
+constexpr Milliseconds longestPause = Milliseconds(400);
+
+// First and longest delay between attempts while the store fails.
+constexpr Milliseconds firstRetry = Milliseconds(150);
+constexpr Milliseconds longestRetry = Milliseconds(600);
+
+// A watch that has not told of a change which another instance knows for this long is stuck.
+constexpr Milliseconds stuckAfter = Milliseconds(700);
+
+} // namespace
+
+RegistrySync::RegistrySync(net::Reactor &reactor, kernel::Registry &registry,
+                           const std::string &address)
+    : m_reactor(reactor)
+    , m_registry(registry)
+    , m_client(reactor, address)
+{ }
+
+void RegistrySync::start()
+{
+    m_fleet = &m_registry.find<FleetService>();
+    m_peers = &m_registry.find<PeerService>();
+    m_lastAnswer = m_reactor.now();
+    list();
+}
+
+void RegistrySync::noteLaterRevision(platform::Revision revision)
+{
+    const bool isStuck = m_isWatching && !m_needsListing && revision > m_revision
+        && m_reactor.now() - m_watchStarted > stuckAfter;
+    if (!isStuck)
+        return;
+    LOG(WARNING) << "registry: watch is stuck revision=" << m_revision << " seen=" << revision;
+    m_client.drop();
+}
+
+void RegistrySync::list()
+{
+    m_listed.clear();
+    m_listedAt = 0;
+    m_client.list("", [this](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
+        onListed(std::move(page));
+    });
+}
+
+void RegistrySync::onListed(tl::expected<platform::RegistryPage, platform::StoreFailure> page)
+{
+    if (!page) {
+        noteFailure(page.error());
+        return;
+    }
+    // Pages are no snapshot: watching on from the first one's state repeats some changes and
+    // misses none.
+    if (m_listedAt == 0)
+        m_listedAt = page->revision;
+    for (platform::RegistryChange &change : page->changes)
+        m_listed.push_back(std::move(change));
+    if (page->hasMore && !page->lastKey.empty()) {
+        m_client.list(page->lastKey,
+                      [this](tl::expected<platform::RegistryPage, platform::StoreFailure> next) {
+                          onListed(std::move(next));
+                      });
+        return;
+    }
+    noteAnswer();
+    m_fleet->applyListing(m_listed);
+    m_listed.clear();
+    m_revision = std::max(m_revision, m_listedAt);
+    m_needsListing = false;
+    watch();
+}
+
+void RegistrySync::watch()
+{
+    m_isWatching = true;
+    m_watchStarted = m_reactor.now();
+    m_client.watch(m_revision, watchTime,
+                   [this](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
+                       onChanges(std::move(page));
+                   });
+}
+
+void RegistrySync::onChanges(tl::expected<platform::RegistryPage, platform::StoreFailure> page)
+{
+    m_isWatching = false;
+    if (!page) {
+        noteFailure(page.error());
+        return;
+    }
+    noteAnswer();
+    for (const platform::RegistryChange &change : page->changes)
+        m_fleet->apply(change);
+    m_revision = std::max(m_revision, page->revision);
+    if (page->changes.empty()) {
+        watch();
+        return;
+    }
+    m_reactor.after(pauseBetweenWatches(), [this] { watch(); });
+}
+
+Milliseconds RegistrySync::pauseBetweenWatches() const
+{
+    const std::int64_t instances = static_cast<std::int64_t>(m_peers->livingCount());
+    return std::min(pausePerInstance * instances, longestPause);
+}
+
+void RegistrySync::noteFailure(platform::StoreFailure failure)
+{
+    if (failure == platform::StoreFailure::HistoryGone) {
+        LOG(WARNING) << "registry: history gone, listing anew revision=" << m_revision;
+        m_needsListing = true;
+        m_reactor.after(Milliseconds(), [this] { list(); });
+        return;
+    }
+    if (m_failures == 0)
+        LOG(WARNING) << "registry: lost reason=" << nameOf(failure) << " revision=" << m_revision;
+    ++m_failures;
+    const Milliseconds delay = std::min(firstRetry * std::min(m_failures, 4), longestRetry);
+    m_reactor.after(delay, [this] { retry(); });
+}
+
+void RegistrySync::retry()
+{
+    if (m_needsListing)
+        list();
+    else
+        watch();
+}
+
+void RegistrySync::noteAnswer()
+{
+    if (m_failures > 0) {
+        const Milliseconds away = m_reactor.now() - m_lastAnswer;
+        LOG(INFO) << "registry: regained failures=" << m_failures << " away_ms=" << away.count();
+    }
+    m_failures = 0;
+    m_lastAnswer = m_reactor.now();
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/target_send.cpp
@@ -0,0 +1,202 @@
+#include "target_send.h"
+
+#include <glog/logging.h>
+
+#include "fleet_service.h"
+
+namespace egretmount::node {
+
+namespace {
+
+// A target on the same site accepts a connection within some milliseconds; one retransmitted
+// opening packet would take over a second, and another target serves the caller sooner.
+constexpr Milliseconds connectTime = Milliseconds(400);
+constexpr std::size_t maxHeadBytes = 64 * 1024;
+
+} // namespace
+
+TargetSend::TargetSend(net::Reactor &reactor, TargetPool &pool, SendListener &listener)
+    : m_reactor(reactor)
+    , m_pool(pool)
+    , m_listener(listener)
+{ }
+
+TargetSend::~TargetSend()
+{
+    *m_isAlive = false;
+    cancel();
+}
+
+void TargetSend::start(const fleet::TargetEntry &target, std::string request, std::string method,
+                       std::string requestId, bool mustBeFresh)
+{
+    m_target = target;
+    m_request = std::move(request);
+    m_method = std::move(method);
+    m_requestId = std::move(requestId);
+    m_isSent = m_hasHead = m_isForeign = m_isOver = false;
+    ++m_pool.health(keyOf(target.id)).inHand;
+    m_connection = m_pool.take(target, mustBeFresh, this);
+    if (m_connection.isReused) {
+        writeRequest();
+        return;
+    }
+    m_connectTimer = m_reactor.after(connectTime, [this] {
+        m_connectTimer = 0;
+        fail(limits::SendFailure::NotSent);
+    });
+}
+
+void TargetSend::cancel()
+{
+    if (!m_isOver)
+        release(false);
+}
+
+void TargetSend::onConnected()
+{
+    m_reactor.cancel(m_connectTimer);
+    writeRequest();
+}
+
+void TargetSend::writeRequest()
+{
+    m_isSent = true;
+    m_connection.stream->write(m_request);
+    m_listener.onRequestSent();
+}
+
+void TargetSend::onBytes()
+{
+    m_pool.health(keyOf(m_target.id)).lastHeard = m_reactor.now();
+    const std::shared_ptr<bool> isAlive = m_isAlive;
+    while (*isAlive && !m_isOver) {
+        if (!m_hasHead && !readHead())
+            return;
+        if (!*isAlive || m_isOver)
+            return;
+        readBody();
+        if (!*isAlive || m_isOver || m_hasHead)
+            return;
+    }
+}
+
+bool TargetSend::readHead()
+{
+    std::string &input = m_connection.stream->input();
+    const std::size_t end = input.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        if (input.size() > maxHeadBytes)
+            fail(limits::SendFailure::Broken);
+        return false;
+    }
+    tl::expected<http::ResponseHead, http::HeadProblem> head
+        = http::parseResponseHead(std::string_view(input).substr(0, end));
+    const tl::expected<http::BodyFraming, http::HeadProblem> framing
+        = head ? http::responseFraming(*head, m_method) : tl::unexpected(head.error());
+    if (!framing) {
+        LOG(WARNING) << "targets: bytes that are no answer target=" << m_target.id.value
+                     << " id=" << m_requestId;
+        fail(limits::SendFailure::Broken);
+        return false;
+    }
+    input.erase(0, end + 4);
+    if (head->status < 200)
+        return !input.empty() && readHead();
+    m_head = std::move(*head);
+    m_fields = platform::readAnswerFields(m_head);
+    m_reader = http::makeBodyReader(*framing);
+    m_hasHead = true;
+    const bool isUnnamed = m_fields.requestId.empty();
+    const bool isSuccess = m_head.status < 300;
+    m_isForeign = isUnnamed ? isSuccess : m_fields.requestId != m_requestId;
+    if (m_isForeign) {
+        LOG(WARNING) << "targets: answer to another request skipped target=" << m_target.id.value
+                     << " id=" << m_requestId << " answers=" << m_fields.requestId;
+        if (framing->framing == http::Framing::UntilClose || isUnnamed) {
+            fail(limits::SendFailure::Broken);
+            return false;
+        }
+        return true;
+    }
+    if (m_fields.isDeclined) {
+        std::string rest;
+        const bool isWhole = http::readBody(m_reader, input, rest) == http::BodyState::Complete;
+        const std::string faulty = m_fields.faultyAddress;
+        release(isWhole);
+        m_listener.onSendFailed(limits::SendFailure::Declined, faulty);
+        return false;
+    }
+    m_listener.onAnswerHead(m_head);
+    return true;
+}
+
+void TargetSend::readBody()
+{
+    std::string bytes;
+    const http::BodyState state = http::readBody(m_reader, m_connection.stream->input(), bytes);
+    if (m_isForeign) {
+        if (state == http::BodyState::Malformed)
+            fail(limits::SendFailure::Broken);
+        else if (state == http::BodyState::Complete)
+            m_hasHead = false; // the answer to this request follows
+        return;
+    }
+    const std::shared_ptr<bool> isAlive = m_isAlive;
+    if (!bytes.empty())
+        m_listener.onAnswerBytes(std::move(bytes));
+    if (!*isAlive || m_isOver)
+        return;
+    if (state == http::BodyState::Malformed)
+        fail(limits::SendFailure::Broken);
+    else if (state == http::BodyState::Complete)
+        complete();
+}
+
+void TargetSend::onEnd(net::StreamEnd end)
+{
+    if (m_isOver)
+        return;
+    if (!m_isSent) {
+        fail(limits::SendFailure::NotSent);
+        return;
+    }
+    const bool isWhole = m_hasHead && !m_isForeign && end == net::StreamEnd::Closed
+        && http::endOfInput(m_reader);
+    if (isWhole)
+        complete();
+    else
+        fail(limits::SendFailure::Broken);
+}
+
+void TargetSend::complete()
+{
+    const bool mayReuse = m_reader.framing.framing != http::Framing::UntilClose
+        && http::keepsConnection(m_head.fields, m_head.minorVersion)
+        && m_connection.stream->unsent() == 0;
+    release(mayReuse);
+    m_listener.onAnswerComplete();
+}
+
+void TargetSend::fail(limits::SendFailure failure, const std::string &faultyAddress)
+{
+    release(false);
+    m_listener.onSendFailed(failure, faultyAddress);
+}
+
+void TargetSend::release(bool mayReuse)
+{
+    m_isOver = true;
+    m_reactor.cancel(m_connectTimer);
+    --m_pool.health(keyOf(m_target.id)).inHand;
+    const std::shared_ptr<net::TcpStream> stream = std::move(m_connection.stream);
+    m_connection.stream.reset();
+    if (!stream)
+        return;
+    if (mayReuse)
+        m_pool.giveBack(m_target.id, stream, m_fields.idleTime);
+    else
+        stream->close();
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/include/egretmount/placement/ledger.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <egretmount/core/clock.h>
+#include <egretmount/core/ids.h>
+#include <egretmount/fleet/configuration.h>
+
+namespace egretmount::placement {
+
+/// @brief A target in messages and tables; `stableHash` of its id.
+using EngineKey = std::uint64_t;
+
+/// @brief One request on the engines that work for it.
+struct Work
+{
+    std::uint64_t id = 0; ///< Unique over all instances and runs.
+    std::string owner; ///< Host of the instance that placed it.
+    std::vector<EngineKey> engines; ///< The first one receives the request; the rest help to read.
+    TokenCount promptTokens = 0;
+    double partMs = 0; ///< Reading time of one part at the published speed.
+    double weight = 1; ///< How much a late answer costs, against other work.
+    Milliseconds pauseTarget; ///< Zero: none stated.
+    Milliseconds placedAt;
+    Milliseconds expiresAt; ///< Nobody waits for it any longer.
+    bool isWriting = false; ///< Its first event has come.
+    std::vector<Milliseconds> readBy; ///< When each engine is expected to have read its part.
+};
+
+/// @brief What is known to be under way at one engine.
+struct EngineState
+{
+    Milliseconds readFreeAt; ///< When the parts placed so far are expected to be read.
+    int reading = 0; ///< Parts not known to be read.
+    std::vector<std::uint64_t> works; ///< In the order of placement.
+    double pace = 1; ///< Measured reading time over the published one.
+};
+
+/// @brief All placements that this instance has made or heard of.
+struct Ledger
+{
+    std::unordered_map<std::uint64_t, Work> works;
+    std::unordered_map<EngineKey, EngineState> engines;
+};
+
+/// @brief Milliseconds from placement until an engine starts on a part: two hops of a request.
+constexpr Milliseconds transitTime = Milliseconds(4);
+
+/// @brief Weight of a new measurement of an engine's pace against the earlier ones.
+constexpr double paceSmoothing = 0.3;
+
+/// @brief Enters a placement. A work with that id that is known already is left as it is.
+/// @complexity Linear in the work's engines.
+void addWork(Ledger &ledger, Work work, Milliseconds now);
+
+/// @brief Takes in that the first event of a work has come; corrects what was expected of its
+///        engines.
+/// @param isOwn The event was seen here, so its time is exact enough to measure the engine's pace.
+void noteWriting(Ledger &ledger, std::uint64_t id, bool isOwn, Milliseconds now);
+
+/// @brief Takes out a work that has ended, whatever its end.
+void removeWork(Ledger &ledger, std::uint64_t id, Milliseconds now);
+
+/// @brief Takes out the works of an instance whose run has ended.
+void removeWorksOf(Ledger &ledger, const std::string &owner, Milliseconds now);
+
+/// @brief Takes out the works of an owner that are not in its latest statement, and those that have
+///        expired. @param stated Ids; sorted.
+void keepStated(Ledger &ledger, const std::string &owner, const std::vector<std::uint64_t> &stated,
+                Milliseconds now);
+
+/// @brief Takes out works that have expired.
+void removeExpired(Ledger &ledger, Milliseconds now);
+
+/// @brief Milliseconds until an engine has read what is placed there.
+double readingBacklog(const Ledger &ledger, EngineKey engine, Milliseconds now);
+
+} // namespace egretmount::placement
--- /dev/null
+++ b/src/daemon/net/http_call.cpp
@@ -0,0 +1,118 @@
+#include "net/http_call.h"
+
+namespace egretmount::net {
+
+namespace {
+
+constexpr std::size_t maxHeadBytes = 64 * 1024;
+constexpr std::size_t maxBodyBytes = 16 * 1024 * 1024; // some pages of the largest listing
+
+} // namespace
+
+HttpCaller::HttpCaller(Reactor &reactor, std::string address)
+    : m_reactor(reactor)
+    , m_address(std::move(address))
+{ }
+
+HttpCaller::~HttpCaller()
+{
+    m_reactor.cancel(m_timer);
+    if (m_stream)
+        m_stream->close();
+}
+
+void HttpCaller::call(const std::string &target, Milliseconds timeout, Done done)
+{
+    m_done = std::move(done);
+    m_hasHead = false;
+    m_body.clear();
+    m_request = "GET " + target + " HTTP/1.1\r\nHost: " + m_address + "\r\n\r\n";
+    m_timer = m_reactor.after(timeout, [this] {
+        m_timer = 0;
+        fail();
+    });
+    if (m_stream && m_stream->isOpen()) {
+        m_stream->write(m_request);
+        return;
+    }
+    m_stream = TcpStream::connect(m_reactor, m_address, this);
+}
+
+void HttpCaller::drop()
+{
+    fail();
+}
+
+void HttpCaller::onConnected()
+{
+    m_stream->write(m_request);
+}
+
+void HttpCaller::onBytes()
+{
+    if (!m_done) {
+        fail(); // bytes that answer no call
+        return;
+    }
+    std::string &input = m_stream->input();
+    while (!m_hasHead) {
+        const std::size_t end = input.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            if (input.size() > maxHeadBytes)
+                fail();
+            return;
+        }
+        const tl::expected<http::ResponseHead, http::HeadProblem> head
+            = http::parseResponseHead(std::string_view(input).substr(0, end));
+        const tl::expected<http::BodyFraming, http::HeadProblem> framing
+            = head ? http::responseFraming(*head, "GET") : tl::unexpected(head.error());
+        if (!framing) {
+            fail();
+            return;
+        }
+        input.erase(0, end + 4);
+        m_head = *head;
+        m_hasHead = head->status >= 200; // interim answers precede the real one
+        m_reader = http::makeBodyReader(*framing);
+    }
+    const http::BodyState state = http::readBody(m_reader, input, m_body);
+    if (state == http::BodyState::Malformed || m_body.size() > maxBodyBytes)
+        fail();
+    else if (state == http::BodyState::Complete)
+        finish(m_head.status);
+}
+
+void HttpCaller::onEnd(StreamEnd end)
+{
+    m_stream.reset();
+    if (end == StreamEnd::Closed && m_done && m_hasHead && http::endOfInput(m_reader))
+        finish(m_head.status);
+    else
+        fail();
+}
+
+void HttpCaller::fail()
+{
+    if (m_stream) {
+        m_stream->close();
+        m_stream.reset();
+    }
+    finish(0);
+}
+
+void HttpCaller::finish(int status)
+{
+    m_reactor.cancel(m_timer);
+    if (m_stream && (!http::keepsConnection(m_head.fields, m_head.minorVersion)
+                     || m_reader.framing.framing == http::Framing::UntilClose)) {
+        m_stream->close();
+        m_stream.reset();
+    }
+    if (!m_done)
+        return;
+    const Done done = std::move(m_done);
+    m_done = nullptr;
+    done(status, std::move(m_body));
+}
+
+} // namespace egretmount::net
--- /dev/null
+++ b/src/daemon/net/reactor.cpp
@@ -0,0 +1,118 @@
+#include "net/reactor.h"
+
+#include <algorithm>
+
+#include <Poco/Timespan.h>
+
+namespace egretmount::net {
+
+namespace {
+
+// Longest sleep: a signal sets a flag that the loop's owner looks at in a timer.
+constexpr Milliseconds longestSleep = Milliseconds(100);
+
+} // namespace
+
+void Reactor::watch(const Poco::Net::Socket &socket, int mode,
+                    std::shared_ptr<SocketWatcher> watcher)
+{
+    m_watchers[socket.impl()] = std::move(watcher);
+    m_pollSet.add(socket, mode);
+}
+
+void Reactor::update(const Poco::Net::Socket &socket, int mode)
+{
+    m_pollSet.update(socket, mode);
+}
+
+void Reactor::forget(const Poco::Net::Socket &socket)
+{
+    if (m_watchers.erase(socket.impl()) > 0)
+        m_pollSet.remove(socket);
+}
+
+TimerId Reactor::after(Milliseconds delay, std::function<void()> task)
+{
+    const TimerId id = ++m_lastTimer;
+    const Milliseconds at = m_now + delay;
+    m_timers.emplace(TimerKey(at, id), std::move(task));
+    m_timerTimes.emplace(id, at);
+    return id;
+}
+
+void Reactor::every(Milliseconds interval, std::function<void()> task)
+{
+    after(interval, [this, interval, task = std::move(task)] {
+        task();
+        every(interval, task);
+    });
+}
+
+void Reactor::cancel(TimerId &id)
+{
+    const auto found = m_timerTimes.find(id);
+    if (found != m_timerTimes.end()) {
+        m_timers.erase(TimerKey(found->second, id));
+        m_timerTimes.erase(found);
+    }
+    id = 0;
+}
+
+void Reactor::defer(std::function<void()> task)
+{
+    m_deferred.push_back(std::move(task));
+}
+
+void Reactor::run()
+{
+    m_isStopped = false;
+    while (!m_isStopped) {
+        runDeferred();
+        const Milliseconds sleep = m_deferred.empty() ? timeToNextTimer() : Milliseconds();
+        const Poco::Net::PollSet::SocketModeMap ready
+            = m_pollSet.poll(Poco::Timespan(sleep.count() * Poco::Timespan::MILLISECONDS));
+        m_now = monotonicNow();
+        for (const auto &[socket, mode] : ready) {
+            // An earlier callback of this round may have taken the watcher away.
+            const auto found = m_watchers.find(socket.impl());
+            if (found == m_watchers.end())
+                continue;
+            const std::shared_ptr<SocketWatcher> watcher = found->second;
+            watcher->onReady((mode & Poco::Net::PollSet::POLL_READ) != 0,
+                             (mode & Poco::Net::PollSet::POLL_WRITE) != 0,
+                             (mode & Poco::Net::PollSet::POLL_ERROR) != 0);
+        }
+        runTimers();
+    }
+}
+
+void Reactor::runDeferred()
+{
+    while (!m_deferred.empty()) {
+        std::vector<std::function<void()>> tasks;
+        tasks.swap(m_deferred);
+        for (const std::function<void()> &task : tasks)
+            task();
+    }
+}
+
+void Reactor::runTimers()
+{
+    while (!m_timers.empty() && m_timers.begin()->first.first <= m_now && !m_isStopped) {
+        const auto first = m_timers.begin();
+        const std::function<void()> task = std::move(first->second);
+        m_timerTimes.erase(first->first.second);
+        m_timers.erase(first);
+        task();
+    }
+}
+
+Milliseconds Reactor::timeToNextTimer() const
+{
+    if (m_timers.empty())
+        return longestSleep;
+    const Milliseconds left = m_timers.begin()->first.first - monotonicNow();
+    return std::clamp(left, Milliseconds(), longestSleep);
+}
+
+} // namespace egretmount::net
--- /dev/null
+++ b/src/daemon/net/server_connection.cpp
@@ -0,0 +1,277 @@
+#include "net/server_connection.h"
+
+#include <glog/logging.h>
+
+namespace egretmount::net {
+
+namespace {
+
+// A caller that sends a body gets this long for it; the limits state a time for headers only.
+constexpr Milliseconds bodyTime = Milliseconds(10'000);
+// Idle connections live a little longer than the limit, so that this side never closes first.
+constexpr Milliseconds idleSlack = Milliseconds(500);
+// Bytes of later requests that are kept while one is answered.
+constexpr std::size_t maxReadAhead = 64 * 1024;
+
+} // namespace
+
+void RequestHandler::onRefused(int status, std::string_view reason)
+{
+    LOG(INFO) << "ingress: refused status=" << status << " reason=\"" << reason << '"';
+}
+
+std::weak_ptr<ServerConnection> ServerConnection::serve(Reactor &reactor,
+                                                        const Poco::Net::StreamSocket &socket,
+                                                        RequestHandler &handler)
+{
+    std::shared_ptr<ServerConnection> connection
+        = std::make_shared<ServerConnection>(reactor, handler);
+    connection->m_self = connection;
+    connection->m_stream = TcpStream::adopt(reactor, socket, connection.get());
+    connection->m_limits = handler.limits();
+    connection->setTimer(connection->m_limits.idleTime + idleSlack, 0);
+    return connection;
+}
+
+ServerConnection::ServerConnection(Reactor &reactor, RequestHandler &handler)
+    : m_reactor(reactor)
+    , m_handler(handler)
+{ }
+
+ServerConnection::~ServerConnection()
+{
+    m_reactor.cancel(m_timer);
+    if (m_stream)
+        m_stream->setUser(nullptr);
+}
+
+void ServerConnection::onBytes()
+{
+    if (m_phase == Phase::Answering) {
+        if (m_stream->input().size() > maxReadAhead)
+            m_stream->pauseInput(true);
+        return;
+    }
+    read();
+}
+
+void ServerConnection::read()
+{
+    if (m_isReading)
+        return;
+    const std::shared_ptr<ServerConnection> self = shared_from_this();
+    m_isReading = true;
+    bool goesOn = true;
+    while (goesOn && m_phase != Phase::Answering && m_phase != Phase::Closed)
+        goesOn = m_phase == Phase::Body ? readBody() : readHead();
+    m_isReading = false;
+}
+
+bool ServerConnection::readHead()
+{
+    std::string &input = m_stream->input();
+    // Empty lines before a request are allowed by the protocol's robustness rule.
+    while (m_phase == Phase::Idle && input.compare(0, 2, "\r\n") == 0)
+        input.erase(0, 2);
+    if (input.empty())
+        return false;
+    if (m_phase == Phase::Idle) {
+        m_phase = Phase::Head;
+        m_limits = m_handler.limits();
+        setTimer(m_limits.headerTime, 408);
+    }
+    const std::size_t end = input.find("\r\n\r\n");
+    if (end == std::string::npos ? input.size() > m_limits.headerBytes
+                                 : end + 4 > m_limits.headerBytes) {
+        refuse(431, "header-too-large");
+        return false;
+    }
+    if (end == std::string::npos)
+        return false;
+    tl::expected<http::RequestHead, http::HeadProblem> head
+        = http::parseRequestHead(std::string_view(input).substr(0, end));
+    if (!head) {
+        refuse(static_cast<int>(head.error()), "malformed-head");
+        return false;
+    }
+    const tl::expected<http::BodyFraming, http::HeadProblem> framing = http::requestFraming(*head);
+    if (!framing) {
+        refuse(400, "ambiguous-framing");
+        return false;
+    }
+    input.erase(0, end + 4);
+    m_head = std::move(*head);
+    m_keeps = http::keepsConnection(m_head.fields, m_head.minorVersion);
+    m_isChunked = m_head.minorVersion >= 1;
+    if (framing->framing == http::Framing::Length && framing->length > m_limits.bodyBytes) {
+        refuse(413, "body-too-large");
+        return false;
+    }
+    m_reader = http::makeBodyReader(*framing);
+    m_body.clear();
+    m_phase = Phase::Body;
+    setTimer(bodyTime, 408);
+    if (m_reader.state == http::BodyState::Reading
+        && http::hasToken(m_head.fields, "Expect", "100-continue"))
+        m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
+bool ServerConnection::readBody()
+{
+    const http::BodyState state = http::readBody(m_reader, m_stream->input(), m_body);
+    if (m_body.size() > m_limits.bodyBytes) {
+        refuse(413, "body-too-large");
+        return false;
+    }
+    if (state == http::BodyState::Malformed) {
+        refuse(400, "malformed-body");
+        return false;
+    }
+    if (state == http::BodyState::Reading)
+        return false;
+    m_phase = Phase::Answering;
+    m_reactor.cancel(m_timer);
+    m_handler.onRequest(shared_from_this(), std::move(m_head), std::move(m_body));
+    return true;
+}
+
+void ServerConnection::refuse(int status, std::string_view reason)
+{
+    m_handler.onRefused(status, reason);
+    m_phase = Phase::Answering;
+    m_keeps = false; // the rest of the request is not read, so nothing may follow it
+    answer(status, http::reasonPhrase(status), {}, {});
+}
+
+void ServerConnection::setTimer(Milliseconds delay, int status)
+{
+    m_reactor.cancel(m_timer);
+    m_timer = m_reactor.after(delay, [this, status] {
+        const std::shared_ptr<ServerConnection> self = shared_from_this();
+        m_timer = 0;
+        if (status == 0)
+            closeIfIdle();
+        else
+            refuse(status, "too-slow");
+    });
+}
+
+std::string ServerConnection::headText(int status, std::string_view reason,
+                                       std::string_view fields) const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
+    text.append(reason).append("\r\n").append(fields);
+    if (!m_keeps)
+        text += "Connection: close\r\n";
+    return text;
+}
+
+void ServerConnection::answer(int status, std::string_view reason, std::string_view fields,
+                              std::string_view body)
+{
+    if (m_phase != Phase::Answering)
+        return;
+    m_keeps = m_keeps && !m_handler.isStopping();
+    std::string text = headText(status, reason, fields);
+    const bool hasNoBody = status == 204 || status == 304;
+    if (!hasNoBody)
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    text += "\r\n";
+    if (m_head.method != "HEAD" && !hasNoBody)
+        text += body;
+    m_stream->write(text);
+    finishAnswer();
+}
+
+void ServerConnection::beginAnswer(int status, std::string_view reason, std::string_view fields)
+{
+    if (m_phase != Phase::Answering)
+        return;
+    m_keeps = m_keeps && m_isChunked && !m_handler.isStopping();
+    std::string text = headText(status, reason, fields);
+    if (m_isChunked)
+        text += "Transfer-Encoding: chunked\r\n";
+    m_stream->write(text + "\r\n");
+}
+
+void ServerConnection::sendPiece(std::string_view bytes)
+{
+    if (m_phase != Phase::Answering || bytes.empty())
+        return;
+    if (!m_isChunked) {
+        m_stream->write(bytes);
+        return;
+    }
+    std::string chunk;
+    http::appendChunk(chunk, bytes);
+    m_stream->write(chunk);
+}
+
+void ServerConnection::endAnswer()
+{
+    if (m_phase != Phase::Answering)
+        return;
+    if (m_isChunked)
+        m_stream->write(http::lastChunk);
+    finishAnswer();
+}
+
+void ServerConnection::breakOff()
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_phase = Phase::Closed;
+    m_goneListener = nullptr;
+    m_reactor.cancel(m_timer);
+    // Without its last chunk a chunked answer is visibly cut; without chunks only a reset shows it.
+    if (m_isChunked)
+        m_stream->closeGently();
+    else
+        m_stream->abort();
+    m_reactor.defer([self = std::move(m_self)] { });
+}
+
+void ServerConnection::finishAnswer()
+{
+    m_goneListener = nullptr;
+    if (!m_keeps) {
+        m_phase = Phase::Closed;
+        m_reactor.cancel(m_timer);
+        m_stream->closeGently();
+        m_reactor.defer([self = std::move(m_self)] { });
+        return;
+    }
+    m_phase = Phase::Idle;
+    setTimer(m_limits.idleTime + idleSlack, 0);
+    m_stream->pauseInput(false);
+    // What the caller sent meanwhile is read in a turn of its own: the answer came from a callback.
+    if (!m_stream->input().empty())
+        m_reactor.defer([self = shared_from_this()] { self->read(); });
+}
+
+void ServerConnection::closeIfIdle()
+{
+    if (m_phase != Phase::Idle)
+        return;
+    m_phase = Phase::Closed;
+    m_reactor.cancel(m_timer);
+    m_stream->closeGently();
+    m_reactor.defer([self = std::move(m_self)] { });
+}
+
+void ServerConnection::onEnd(StreamEnd)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_phase = Phase::Closed;
+    m_reactor.cancel(m_timer);
+    const std::shared_ptr<ServerConnection> self = std::move(m_self);
+    const std::function<void()> listener = std::move(m_goneListener);
+    m_goneListener = nullptr;
+    if (listener)
+        listener();
+    m_reactor.defer([self] { });
+}
+
+} // namespace egretmount::net
--- /dev/null
+++ b/src/daemon/net/tcp_stream.cpp
@@ -0,0 +1,304 @@
+#include "net/tcp_stream.h"
+
+#include <array>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <glog/logging.h>
+
+namespace egretmount::net {
+
+namespace {
+
+using Poco::Net::PollSet;
+
+// A peer that does not acknowledge data for this long is gone; callers' objectives are of seconds.
+constexpr int userTimeoutMs = 2'500;
+// Keep-alive probes, seconds and count: find a silent idle connection within three seconds.
+constexpr int keepAliveIdleS = 1;
+constexpr int keepAliveIntervalS = 1;
+constexpr int keepAliveProbes = 2;
+// How long the peer may take to close after this side has.
+constexpr Milliseconds lingerTime = Milliseconds(1'000);
+constexpr std::size_t readSize = 16 * 1024; // bytes; most messages fit one read
+constexpr int readsPerTurn = 8; // leaves the loop to others while one peer sends much
+constexpr int backlog = 512; // connections of a herd of callers that come back at once
+
+void setOptions(Poco::Net::StreamSocket &socket)
+{
+    socket.setBlocking(false);
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleS);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalS);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+}
+
+} // namespace
+
+std::shared_ptr<TcpStream> TcpStream::connect(Reactor &reactor, const std::string &address,
+                                              StreamUser *user)
+{
+    Poco::Net::StreamSocket socket;
+    std::shared_ptr<TcpStream> stream;
+    try {
+        socket.connectNB(Poco::Net::SocketAddress(address));
+        stream = std::make_shared<TcpStream>(reactor, socket, user);
+        setOptions(stream->m_socket);
+        stream->begin(PollSet::POLL_READ | PollSet::POLL_WRITE | PollSet::POLL_ERROR);
+    } catch (const Poco::Exception &error) {
+        LOG(WARNING) << "net: cannot connect address=" << address << " reason=\""
+                     << error.displayText() << '"';
+        stream = std::make_shared<TcpStream>(reactor, Poco::Net::StreamSocket(), user);
+        reactor.defer([stream] { stream->finish(StreamEnd::Reset); });
+    }
+    return stream;
+}
+
+std::shared_ptr<TcpStream> TcpStream::adopt(Reactor &reactor,
+                                            const Poco::Net::StreamSocket &socket,
+                                            StreamUser *user)
+{
+    std::shared_ptr<TcpStream> stream = std::make_shared<TcpStream>(reactor, socket, user);
+    stream->m_isConnected = true;
+    try {
+        setOptions(stream->m_socket);
+        stream->begin(PollSet::POLL_READ | PollSet::POLL_ERROR);
+    } catch (const Poco::Exception &error) {
+        LOG(WARNING) << "net: cannot adopt a connection reason=\"" << error.displayText() << '"';
+        reactor.defer([stream] { stream->finish(StreamEnd::Reset); });
+    }
+    return stream;
+}
+
+TcpStream::TcpStream(Reactor &reactor, Poco::Net::StreamSocket socket, StreamUser *user)
+    : m_reactor(reactor)
+    , m_socket(std::move(socket))
+    , m_user(user)
+{ }
+
+TcpStream::~TcpStream()
+{
+    close();
+}
+
+std::string TcpStream::peerHost() const
+{
+    try {
+        return m_socket.peerAddress().host().toString();
+    } catch (const Poco::Exception &) {
+        return "unknown"; // for a log line only; the peer may have gone already
+    }
+}
+
+void TcpStream::begin(int mode)
+{
+    m_mode = mode;
+    m_reactor.watch(m_socket, mode, shared_from_this());
+}
+
+void TcpStream::applyMode()
+{
+    if (!m_isOpen)
+        return;
+    int mode = PollSet::POLL_ERROR;
+    if (!m_isPaused)
+        mode |= PollSet::POLL_READ;
+    if (!m_isConnected || unsent() > 0)
+        mode |= PollSet::POLL_WRITE;
+    if (mode == m_mode)
+        return;
+    m_mode = mode;
+    m_reactor.update(m_socket, mode);
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (!m_isOpen || m_isClosing)
+        return;
+    m_output.append(bytes);
+    if (m_isConnected)
+        flush();
+}
+
+void TcpStream::close()
+{
+    if (!m_isOpen)
+        return;
+    m_isOpen = false;
+    m_user = nullptr;
+    m_reactor.cancel(m_lingerTimer);
+    m_reactor.forget(m_socket);
+    m_socket.close();
+}
+
+void TcpStream::abort()
+{
+    if (!m_isOpen)
+        return;
+    try {
+        m_socket.setLinger(true, 0);
+    } catch (const Poco::Exception &error) {
+        LOG(WARNING) << "net: cannot set a reset on close reason=\"" << error.displayText() << '"';
+    }
+    close();
+}
+
+void TcpStream::closeGently()
+{
+    if (!m_isOpen || m_isClosing)
+        return;
+    m_user = nullptr;
+    m_isClosing = true;
+    m_isPaused = false;
+    const std::weak_ptr<TcpStream> weak = weak_from_this();
+    m_lingerTimer = m_reactor.after(lingerTime, [weak] {
+        if (const std::shared_ptr<TcpStream> stream = weak.lock())
+            stream->close();
+    });
+    flush();
+}
+
+void TcpStream::pauseInput(bool isPaused)
+{
+    m_isPaused = isPaused;
+    applyMode();
+}
+
+void TcpStream::onReady(bool isReadable, bool isWritable, bool hasFailed)
+{
+    const std::shared_ptr<TcpStream> self = shared_from_this();
+    if (!m_isConnected && (isWritable || hasFailed)) {
+        if (hasFailed || m_socket.impl()->socketError() != 0) {
+            finish(StreamEnd::Reset);
+            return;
+        }
+        m_isConnected = true;
+        if (m_user != nullptr)
+            m_user->onConnected();
+    }
+    if (m_isOpen && isWritable)
+        flush();
+    if (m_isOpen && (isReadable || hasFailed))
+        readSome();
+}
+
+void TcpStream::readSome()
+{
+    std::array<char, readSize> buffer;
+    for (int i = 0; i < readsPerTurn && m_isOpen; ++i) {
+        int count = 0;
+        try {
+            count = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        } catch (const Poco::Exception &) {
+            finish(StreamEnd::Reset); // the user logs it with what it meant for the request
+            return;
+        }
+        if (count < 0)
+            return;
+        if (count == 0) {
+            finish(StreamEnd::Closed);
+            return;
+        }
+        if (m_isClosing)
+            continue;
+        m_input.append(buffer.data(), static_cast<std::size_t>(count));
+        if (m_user != nullptr)
+            m_user->onBytes();
+        if (static_cast<std::size_t>(count) < buffer.size())
+            return;
+    }
+}
+
+void TcpStream::flush()
+{
+    while (m_isOpen && unsent() > 0) {
+        int count = 0;
+        try {
+            count = m_socket.sendBytes(m_output.data() + m_sent, static_cast<int>(unsent()),
+                                       MSG_NOSIGNAL);
+        } catch (const Poco::TimeoutException &) {
+            count = -1; // the kernel's buffer is full
+        } catch (const Poco::Exception &) {
+            finish(StreamEnd::Reset);
+            return;
+        }
+        if (count <= 0)
+            break;
+        m_sent += static_cast<std::size_t>(count);
+    }
+    if (!m_isOpen)
+        return;
+    if (unsent() == 0) {
+        m_output.clear();
+        m_sent = 0;
+        if (m_isClosing) {
+            try {
+                m_socket.shutdownSend();
+            } catch (const Poco::Exception &) {
+                close(); // the peer has gone; nothing is left to wait for
+                return;
+            }
+        } else if (m_user != nullptr) {
+            m_user->onDrained();
+        }
+    }
+    applyMode();
+}
+
+void TcpStream::finish(StreamEnd end)
+{
+    if (!m_isOpen)
+        return;
+    StreamUser *user = m_user;
+    close();
+    if (user != nullptr)
+        user->onEnd(end);
+}
+
+std::shared_ptr<Listener> Listener::open(Reactor &reactor, const std::string &address,
+                                         Accept accept)
+{
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(address), true);
+    socket.listen(backlog);
+    socket.setBlocking(false);
+    std::shared_ptr<Listener> listener
+        = std::make_shared<Listener>(reactor, socket, std::move(accept));
+    reactor.watch(socket, PollSet::POLL_READ, listener);
+    return listener;
+}
+
+Listener::Listener(Reactor &reactor, Poco::Net::ServerSocket socket, Accept accept)
+    : m_reactor(reactor)
+    , m_socket(std::move(socket))
+    , m_accept(std::move(accept))
+{ }
+
+void Listener::close()
+{
+    if (!m_isOpen)
+        return;
+    m_isOpen = false;
+    m_reactor.forget(m_socket);
+    m_socket.close();
+}
+
+void Listener::onReady(bool, bool, bool)
+{
+    const std::shared_ptr<Listener> self = shared_from_this();
+    // One connection a turn: the socket stays ready while others wait, and asking once too often
+    // costs an exception.
+    try {
+        m_accept(m_socket.acceptConnection());
+    } catch (const Poco::Exception &error) {
+        LOG(WARNING) << "net: cannot accept reason=\"" << error.displayText() << '"';
+    }
+}
+
+} // namespace egretmount::net
--- /dev/null
+++ b/src/fleet/target_table.cpp
@@ -0,0 +1,80 @@
+#include <egretmount/fleet/target_table.h>
+
+#include <algorithm>
+
+namespace egretmount::fleet {
+
+bool noteEntry(TargetTable &table, const TargetEntry &entry, Milliseconds now)
+{
+    const auto [position, isNew] = table.targets.try_emplace(entry.id);
+    Target &target = position->second;
+    const bool isNewRun = isNew || target.entry.startedAt != entry.startedAt
+        || target.entry.address != entry.address;
+    target.entry = entry;
+    target.isUnlisted = false;
+    if (entry.coldLeft > Milliseconds() || isNewRun)
+        target.coldUntil = now + entry.coldLeft;
+    return isNewRun;
+}
+
+bool noteRemoval(TargetTable &table, const TargetId &id, Milliseconds now)
+{
+    const auto found = table.targets.find(id);
+    if (found == table.targets.end())
+        return false;
+    Target &target = found->second;
+    if (!target.entry.isDraining) {
+        if (!target.isUnlisted)
+            target.removedAt = now;
+        target.isUnlisted = true;
+        return false;
+    }
+    table.targets.erase(found);
+    return true;
+}
+
+std::vector<TargetId> noteListing(TargetTable &table, const std::vector<TargetEntry> &entries,
+                                  Milliseconds now)
+{
+    std::set<TargetId> listed;
+    for (const TargetEntry &entry : entries) {
+        listed.insert(entry.id);
+        noteEntry(table, entry, now);
+    }
+    std::vector<TargetId> missing;
+    for (const auto &[id, target] : table.targets) {
+        if (listed.count(id) == 0)
+            missing.push_back(id);
+    }
+    missing.erase(std::remove_if(missing.begin(), missing.end(),
+                                 [&](const TargetId &id) { return !noteRemoval(table, id, now); }),
+                  missing.end());
+    return missing;
+}
+
+std::vector<TargetId> dropUnlisted(TargetTable &table, Milliseconds now)
+{
+    std::vector<TargetId> dropped;
+    for (auto position = table.targets.begin(); position != table.targets.end();) {
+        const Target &target = position->second;
+        if (target.isUnlisted && now - target.removedAt >= unlistedGrace) {
+            dropped.push_back(position->first);
+            position = table.targets.erase(position);
+        } else {
+            ++position;
+        }
+    }
+    return dropped;
+}
+
+bool isUsable(const TargetTable &table, const Target &target)
+{
+    return !target.entry.isDraining && table.evacuated.count(target.entry.zone) == 0;
+}
+
+bool isCold(const Target &target, Milliseconds now)
+{
+    return now < target.coldUntil;
+}
+
+} // namespace egretmount::fleet
--- /dev/null
+++ b/src/http/body.cpp
@@ -0,0 +1,138 @@
+#include <egretmount/http/body.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace egretmount::http {
+
+namespace {
+
+constexpr std::size_t maxChunkLine = 1024; // bytes; extensions of chunks are not used here
+constexpr std::uint64_t maxChunk = std::uint64_t(1) << 40; // keeps sums of sizes from overflowing
+
+BodyState broken(BodyReader &reader)
+{
+    return reader.state = BodyState::Malformed;
+}
+
+// Takes one line of the chunked coding. False if it is not there yet or cannot be one.
+bool takeLine(BodyReader &reader, std::string &input, std::size_t &position, std::string &line)
+{
+    const std::size_t end = input.find("\r\n", position);
+    if (end == std::string::npos) {
+        if (input.size() - position > maxChunkLine)
+            broken(reader);
+        return false;
+    }
+    line = input.substr(position, end - position);
+    position = end + 2;
+    return true;
+}
+
+bool startChunk(BodyReader &reader, const std::string &line)
+{
+    const std::size_t digits = std::min(line.find(';'), line.size());
+    const std::from_chars_result result
+        = std::from_chars(line.data(), line.data() + digits, reader.left, 16);
+    if (digits == 0 || result.ec != std::errc() || result.ptr != line.data() + digits
+        || reader.left > maxChunk) {
+        broken(reader);
+        return false;
+    }
+    reader.isBetweenChunks = false;
+    reader.isInTrailer = reader.left == 0;
+    return true;
+}
+
+BodyState readChunked(BodyReader &reader, std::string &input, std::string &output)
+{
+    std::size_t position = 0;
+    std::string line;
+    while (reader.state == BodyState::Reading) {
+        if (reader.isInTrailer) {
+            if (!takeLine(reader, input, position, line))
+                break;
+            if (line.empty())
+                reader.state = BodyState::Complete;
+        } else if (reader.needsChunkEnd) {
+            if (input.size() - position < 2)
+                break;
+            if (input.compare(position, 2, "\r\n") != 0)
+                broken(reader);
+            position += 2;
+            reader.needsChunkEnd = false;
+            reader.isBetweenChunks = true;
+        } else if (reader.isBetweenChunks) {
+            if (!takeLine(reader, input, position, line) || !startChunk(reader, line))
+                break;
+        } else {
+            const std::size_t count
+                = std::min<std::uint64_t>(reader.left, input.size() - position);
+            if (count == 0)
+                break;
+            output.append(input, position, count);
+            position += count;
+            reader.left -= count;
+            reader.needsChunkEnd = reader.left == 0;
+        }
+    }
+    input.erase(0, std::min(position, input.size()));
+    return reader.state;
+}
+
+} // namespace
+
+BodyReader makeBodyReader(const BodyFraming &framing)
+{
+    BodyReader reader;
+    reader.framing = framing;
+    reader.left = framing.length;
+    if (framing.framing == Framing::None)
+        reader.state = BodyState::Complete;
+    return reader;
+}
+
+BodyState readBody(BodyReader &reader, std::string &input, std::string &output)
+{
+    if (reader.state != BodyState::Reading)
+        return reader.state;
+    switch (reader.framing.framing) {
+    case Framing::None:
+        reader.state = BodyState::Complete;
+        break;
+    case Framing::Length: {
+        const std::size_t count = std::min<std::uint64_t>(reader.left, input.size());
+        output.append(input, 0, count);
+        input.erase(0, count);
+        reader.left -= count;
+        if (reader.left == 0)
+            reader.state = BodyState::Complete;
+        break;
+    }
+    case Framing::Chunked:
+        return readChunked(reader, input, output);
+    case Framing::UntilClose:
+        output += input;
+        input.clear();
+        break;
+    }
+    return reader.state;
+}
+
+bool endOfInput(BodyReader &reader)
+{
+    if (reader.state == BodyState::Reading && reader.framing.framing == Framing::UntilClose)
+        reader.state = BodyState::Complete;
+    return reader.state == BodyState::Complete;
+}
+
+void appendChunk(std::string &out, std::string_view piece)
+{
+    std::array<char, 16> digits {};
+    const std::to_chars_result result
+        = std::to_chars(digits.data(), digits.data() + digits.size(), piece.size(), 16);
+    out.append(digits.data(), result.ptr).append("\r\n").append(piece).append("\r\n");
+}
+
+} // namespace egretmount::http
--- /dev/null
+++ b/src/http/head.cpp
@@ -0,0 +1,295 @@
+#include <egretmount/http/head.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace egretmount::http {
+
+namespace {
+
+bool isTokenChar(char c)
+{
+    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+        || marks.find(c) != std::string_view::npos;
+}
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
+}
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+        text.remove_suffix(1);
+    return text;
+}
+
+bool hasControlChar(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](char c) {
+        const unsigned char byte = static_cast<unsigned char>(c);
+        return (byte < 0x20 && c != '\t') || byte == 0x7f;
+    });
+}
+
+// Takes the next line off the text. False if a line does not end with CRLF.
+bool takeLine(std::string_view &text, std::string_view &line)
+{
+    const std::size_t end = text.find('\n');
+    if (end == std::string_view::npos) {
+        line = text;
+        text = {};
+        return line.find('\r') == std::string_view::npos;
+    }
+    if (end == 0 || text[end - 1] != '\r')
+        return false;
+    line = text.substr(0, end - 1);
+    text.remove_prefix(end + 1);
+    return line.find('\r') == std::string_view::npos;
+}
+
+bool parseFields(std::string_view text, Fields &fields)
+{
+    std::string_view line;
+    while (!text.empty()) {
+        if (!takeLine(text, line))
+            return false;
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+            return false;
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (hasControlChar(value))
+            return false;
+        fields.push_back({ std::string(line.substr(0, colon)), std::string(value) });
+    }
+    return true;
+}
+
+// Parses "HTTP/1.x". Returns a negative number if it is none.
+int minorVersionOf(std::string_view text)
+{
+    if (text.size() != 8 || text.substr(0, 7) != "HTTP/1." || text[7] < '0' || text[7] > '9')
+        return -1;
+    return text[7] - '0';
+}
+
+std::optional<std::uint64_t> decimal(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char *end = text.data() + text.size();
+    const std::from_chars_result result = std::from_chars(text.data(), end, value);
+    if (text.empty() || result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return value;
+}
+
+struct FramingFields
+{
+    int lengths = 0;
+    std::uint64_t length = 0;
+    int codings = 0;
+    bool isChunked = false;
+    bool isBroken = false;
+};
+
+FramingFields framingFields(const Fields &fields)
+{
+    FramingFields found;
+    for (const Field &field : fields) {
+        if (isSameName(field.name, "Content-Length")) {
+            const std::optional<std::uint64_t> length = decimal(field.value);
+            found.isBroken = found.isBroken || !length;
+            found.length = length.value_or(0);
+            ++found.lengths;
+        } else if (isSameName(field.name, "Transfer-Encoding")) {
+            found.isChunked = isSameName(field.value, "chunked");
+            found.isBroken = found.isBroken || !found.isChunked;
+            ++found.codings;
+        }
+    }
+    found.isBroken = found.isBroken || found.lengths > 1 || found.codings > 1
+        || (found.lengths > 0 && found.codings > 0);
+    return found;
+}
+
+} // namespace
+
+bool isSameName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size()
+        && std::equal(a.begin(), a.end(), b.begin(),
+                      [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::optional<std::string_view> fieldValue(const Fields &fields, std::string_view name)
+{
+    for (const Field &field : fields) {
+        if (isSameName(field.name, name))
+            return field.value;
+    }
+    return std::nullopt;
+}
+
+bool hasToken(const Fields &fields, std::string_view name, std::string_view token)
+{
+    for (const Field &field : fields) {
+        if (!isSameName(field.name, name))
+            continue;
+        std::string_view rest = field.value;
+        while (!rest.empty()) {
+            const std::size_t comma = std::min(rest.find(','), rest.size());
+            if (isSameName(trimmed(rest.substr(0, comma)), token))
+                return true;
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return false;
+}
+
+tl::expected<RequestHead, HeadProblem> parseRequestHead(std::string_view text)
+{
+    RequestHead head;
+    std::string_view line;
+    if (!takeLine(text, line) || hasControlChar(line))
+        return tl::unexpected(HeadProblem::Malformed);
+    const std::size_t first = line.find(' ');
+    const std::size_t last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last)
+        return tl::unexpected(HeadProblem::Malformed);
+    const std::string_view target = line.substr(first + 1, last - first - 1);
+    if (!isToken(line.substr(0, first)) || target.empty() || target.front() != '/'
+        || target.find(' ') != std::string_view::npos)
+        return tl::unexpected(HeadProblem::Malformed);
+    head.method = line.substr(0, first);
+    head.target = target;
+    head.minorVersion = minorVersionOf(line.substr(last + 1));
+    if (head.minorVersion < 0) {
+        return tl::unexpected(line.substr(last + 1, 5) == "HTTP/" ? HeadProblem::VersionNotSupported
+                                                                  : HeadProblem::Malformed);
+    }
+    if (!parseFields(text, head.fields))
+        return tl::unexpected(HeadProblem::Malformed);
+    return head;
+}
+
+tl::expected<ResponseHead, HeadProblem> parseResponseHead(std::string_view text)
+{
+    ResponseHead head;
+    std::string_view line;
+    if (!takeLine(text, line) || line.size() < 12)
+        return tl::unexpected(HeadProblem::Malformed);
+    head.minorVersion = minorVersionOf(line.substr(0, 8));
+    const std::optional<std::uint64_t> status = decimal(line.substr(9, 3));
+    if (head.minorVersion < 0 || line[8] != ' ' || !status || *status < 100
+        || (line.size() > 12 && line[12] != ' '))
+        return tl::unexpected(HeadProblem::Malformed);
+    head.status = static_cast<int>(*status);
+    if (line.size() > 13)
+        head.reason = line.substr(13);
+    if (!parseFields(text, head.fields))
+        return tl::unexpected(HeadProblem::Malformed);
+    return head;
+}
+
+tl::expected<BodyFraming, HeadProblem> requestFraming(const RequestHead &head)
+{
+    const FramingFields found = framingFields(head.fields);
+    if (found.isBroken || (found.codings > 0 && head.minorVersion == 0))
+        return tl::unexpected(HeadProblem::Malformed);
+    if (found.isChunked)
+        return BodyFraming { Framing::Chunked, 0 };
+    if (found.lengths > 0 && found.length > 0)
+        return BodyFraming { Framing::Length, found.length };
+    return BodyFraming {};
+}
+
+tl::expected<BodyFraming, HeadProblem> responseFraming(const ResponseHead &head,
+                                                       std::string_view method)
+{
+    if (method == "HEAD" || head.status < 200 || head.status == 204 || head.status == 304)
+        return BodyFraming {};
+    const FramingFields found = framingFields(head.fields);
+    if (found.isBroken)
+        return tl::unexpected(HeadProblem::Malformed);
+    if (found.isChunked)
+        return BodyFraming { Framing::Chunked, 0 };
+    if (found.lengths > 0)
+        return BodyFraming { found.length > 0 ? Framing::Length : Framing::None, found.length };
+    return BodyFraming { Framing::UntilClose, 0 };
+}
+
+bool keepsConnection(const Fields &fields, int minorVersion)
+{
+    if (hasToken(fields, "Connection", "close"))
+        return false;
+    return minorVersion >= 1 || hasToken(fields, "Connection", "keep-alive");
+}
+
+Fields endToEndFields(const Fields &fields)
+{
+    static constexpr std::string_view hopByHop[]
+        = { "Connection",       "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+            "Proxy-Authorization", "TE",       "Trailer",          "Transfer-Encoding",
+            "Upgrade",          "Expect",     "Content-Length" };
+    Fields kept;
+    kept.reserve(fields.size() + 4);
+    for (const Field &field : fields) {
+        const bool isHopByHop = std::any_of(std::begin(hopByHop), std::end(hopByHop),
+                                            [&](std::string_view name) {
+                                                return isSameName(field.name, name);
+                                            });
+        if (!isHopByHop && !hasToken(fields, "Connection", field.name))
+            kept.push_back(field);
+    }
+    return kept;
+}
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    case 505:
+        return "HTTP Version Not Supported";
+    default:
+        return {};
+    }
+}
+
+} // namespace egretmount::http
