--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -174,7 +174,7 @@
     m_scanner.partial.clear();
     m_buffer.clear();
     LOG(INFO) << "placement: sent id=" << m_caller.requestId << " target=" << placement.target.id.value
-              << " helpers=" << placement.helperAddresses.size()
+              << " helpers=" << placement.helperAddresses.size() << " part_ms=" << placement.partMs
               << " tokens=" << m_caller.promptTokens << " expected_ms=" << placement.expectedMs
               << " left_ms=" << fields.timeLeft.count() << " sends=" << m_history.sends
               << " config=" << m_configuration->version;
@@ -226,10 +226,13 @@
     if (events.empty())
         return;
     const Milliseconds now = m_services.reactor.now();
-    m_lastEventAt = now;
+    if (m_history.hasAnswerBegun)
+        m_longestPause = std::max(m_longestPause, now - m_lastPassedAt);
+    m_lastPassedAt = m_lastEventAt = now;
     if (!m_isWriting) {
         m_isWriting = true;
-        m_services.placement.noteWriting(m_placement.work);
+        m_services.placement.noteWriting(m_placement.work, m_placement.expectedMs,
+                                         static_cast<double>((now - m_sentAt).count()));
     }
     if (!m_history.hasAnswerBegun) {
         m_history.hasAnswerBegun = true;
@@ -469,7 +472,8 @@
               << " team=" << m_team.value << " status=" << status << " outcome=" << outcome
               << " verdict=\"" << nameOf(limits::verdictOf(m_history)) << "\" sends=" << m_history.sends
               << " events=" << m_scanner.count << " first_ms=" << first.count()
-              << " total_ms=" << (now - m_arrivedAt).count();
+              << " expected_ms=" << m_placement.expectedMs
+              << " longest_pause_ms=" << m_longestPause.count() << " total_ms=" << (now - m_arrivedAt).count();
     const std::shared_ptr<Exchange> self = weak_from_this().lock();
     m_services.reactor.defer([self] { });
     m_services.ingress.forget(*this);
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -91,7 +91,9 @@
     std::string m_fallbackBody;
     Milliseconds m_sentAt;
     Milliseconds m_lastEventAt;
+    Milliseconds m_lastPassedAt;
     Milliseconds m_firstEventAt;
+    Milliseconds m_longestPause; ///< Between two events passed on to the caller.
     net::TimerId m_endTimer = 0;
     net::TimerId m_silenceTimer = 0;
     bool m_isWriting = false;
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -124,6 +124,7 @@
         Placement placed;
         placed.target = first->entry;
         placed.expectedMs = plan->firstEventMs;
+        placed.partMs = plan->partMs;
         for (std::size_t i = 1; i < plan->engines.size(); ++i)
             placed.helperAddresses.push_back(
                 m_fleet->targetWithKey(plan->engines[i])->entry.address);
@@ -173,11 +174,12 @@
     return placed;
 }
 
-void PlacementService::noteWriting(std::uint64_t work)
+void PlacementService::noteWriting(std::uint64_t work, double expectedMs, double takenMs)
 {
     if (work == 0)
         return;
-    placement::noteWriting(m_ledger, work, true, m_reactor.now());
+    placement::notePace(m_ledger, work, expectedMs, takenMs);
+    placement::noteWriting(m_ledger, work, m_reactor.now());
     m_peers->tellWriting(work);
 }
 
@@ -195,12 +197,12 @@
     const std::uint64_t id = work.id;
     placement::addWork(m_ledger, std::move(work), m_reactor.now());
     if (isWriting)
-        placement::noteWriting(m_ledger, id, false, m_reactor.now());
+        placement::noteWriting(m_ledger, id, m_reactor.now());
 }
 
 void PlacementService::noteRemoteWriting(std::uint64_t id)
 {
-    placement::noteWriting(m_ledger, id, false, m_reactor.now());
+    placement::noteWriting(m_ledger, id, m_reactor.now());
 }
 
 void PlacementService::noteRemoteEnd(std::uint64_t id)
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -30,6 +30,7 @@
     std::vector<std::string> helperAddresses; ///< Engines that read a part of the prompt.
     std::uint64_t work = 0; ///< Its entry in the ledger; zero for plain services.
     double expectedMs = 0; ///< Until the first event; zero for plain services.
+    double partMs = 0; ///< Expected reading time of each part of the prompt.
 };
 
 /// @brief Why a request gets no target.
@@ -70,7 +71,8 @@
                                                 const std::set<TargetId> &excluded);
 
     /// @brief The first event of a work placed here has come.
-    void noteWriting(std::uint64_t work);
+    /// @param expectedMs What was expected at its placement. @param takenMs What it took.
+    void noteWriting(std::uint64_t work, double expectedMs, double takenMs);
 
     /// @brief A work placed here has ended.
     void noteEnd(std::uint64_t work);
--- a/include/egretmount/placement/ledger.h
+++ b/include/egretmount/placement/ledger.h
@@ -27,14 +27,12 @@
     Milliseconds placedAt;
     Milliseconds expiresAt; ///< Nobody waits for it any longer.
     bool isWriting = false; ///< Its first event has come.
-    std::vector<Milliseconds> readBy; ///< When each engine is expected to have read its part.
 };
 
 /// @brief What is known to be under way at one engine.
 struct EngineState
 {
-    Milliseconds readFreeAt; ///< When the parts placed so far are expected to be read.
-    int reading = 0; ///< Parts not known to be read.
+    Milliseconds lastReadAt; ///< When the last part known to be read was read.
     std::vector<std::uint64_t> works; ///< In the order of placement.
     double pace = 1; ///< Measured reading time over the published one.
 };
@@ -52,14 +50,19 @@
 /// @brief Weight of a new measurement of an engine's pace against the earlier ones.
 constexpr double paceSmoothing = 0.3;
 
+/// @brief How much longer a part takes to read at an engine that writes as well: each step of
+///        reading is also one of writing.
+constexpr double writingSlowdown = 1.12;
+
 /// @brief Enters a placement. A work with that id that is known already is left as it is.
 /// @complexity Linear in the work's engines.
 void addWork(Ledger &ledger, Work work, Milliseconds now);
 
-/// @brief Takes in that the first event of a work has come; corrects what was expected of its
-///        engines.
-/// @param isOwn The event was seen here, so its time is exact enough to measure the engine's pace.
-void noteWriting(Ledger &ledger, std::uint64_t id, bool isOwn, Milliseconds now);
+/// @brief Takes in that the first event of a work has come: all its parts are read.
+void noteWriting(Ledger &ledger, std::uint64_t id, Milliseconds now);
+
+/// @brief Takes in how long a work without helpers took against what was expected.
+void notePace(Ledger &ledger, std::uint64_t id, double expectedMs, double takenMs);
 
 /// @brief Takes out a work that has ended, whatever its end.
 void removeWork(Ledger &ledger, std::uint64_t id, Milliseconds now);
@@ -76,6 +79,7 @@
 void removeExpired(Ledger &ledger, Milliseconds now);
 
 /// @brief Milliseconds until an engine has read what is placed there.
+/// @complexity Linear in the works at the engine.
 double readingBacklog(const Ledger &ledger, EngineKey engine, Milliseconds now);
 
 } // namespace egretmount::placement
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr double leastPace = 0.5; // a measurement below this says more of the estimate than of the engine
 constexpr double greatestPace = 12; // an engine slower than this gets nothing anyway
 
 Milliseconds rounded(double milliseconds)
@@ -15,60 +14,67 @@
     return Milliseconds(std::llround(milliseconds));
 }
 
-void measurePace(EngineState &engine, const Work &work, Milliseconds now)
+bool hasWriters(const Ledger &ledger, const EngineState &engine, EngineKey key)
 {
-    const double expected = static_cast<double>((work.readBy.front() - work.placedAt).count());
-    const double taken = static_cast<double>((now - work.placedAt).count());
-    if (expected < 1)
-        return;
-    const double measured = std::clamp(taken / expected * engine.pace, leastPace, greatestPace);
-    engine.pace += (measured - engine.pace) * paceSmoothing;
-    engine.pace = std::max(engine.pace, 1.0);
+    return std::any_of(engine.works.begin(), engine.works.end(), [&](std::uint64_t id) {
+        const Work &work = ledger.works.at(id);
+        return work.isWriting && work.engines.front() == key;
+    });
 }
 
-void finishReading(EngineState &engine, Milliseconds expected, bool isExact, Milliseconds now)
+// When an engine is expected to have read its part of `last`, or all its parts if there is no such.
+Milliseconds readTime(const Ledger &ledger, const EngineState &engine, EngineKey key,
+                      std::uint64_t last, Milliseconds now)
 {
-    engine.reading = std::max(0, engine.reading - 1);
-    if (engine.reading == 0)
-        engine.readFreeAt = std::min(engine.readFreeAt, now);
-    else if (now < expected || isExact)
-        engine.readFreeAt = std::max(now, engine.readFreeAt + (now - expected));
+    const double slowdown = engine.pace * (hasWriters(ledger, engine, key) ? writingSlowdown : 1);
+    Milliseconds time = engine.lastReadAt;
+    for (const std::uint64_t id : engine.works) {
+        const Work &work = ledger.works.at(id);
+        if (!work.isWriting) {
+            time = std::max(time, work.placedAt + transitTime) + rounded(work.partMs * slowdown);
+            // The only part of a work that does not write yet cannot have been read.
+            if (work.engines.size() == 1)
+                time = std::max(time, now);
+        }
+        if (id == last)
+            break;
+    }
+    return time;
 }
 
 } // namespace
 
-void addWork(Ledger &ledger, Work work, Milliseconds now)
+void addWork(Ledger &ledger, Work work, Milliseconds)
 {
     if (ledger.works.count(work.id) > 0)
         return;
-    work.readBy.clear();
-    for (const EngineKey key : work.engines) {
-        EngineState &engine = ledger.engines[key];
-        const Milliseconds start = std::max(engine.readFreeAt, work.placedAt + transitTime);
-        const Milliseconds end = start + rounded(work.partMs * engine.pace);
-        work.readBy.push_back(end);
-        engine.works.push_back(work.id);
-        if (!work.isWriting) {
-            ++engine.reading;
-            engine.readFreeAt = std::max(end, now);
-        }
-    }
+    for (const EngineKey key : work.engines)
+        ledger.engines[key].works.push_back(work.id);
     ledger.works.emplace(work.id, std::move(work));
 }
 
-void noteWriting(Ledger &ledger, std::uint64_t id, bool isOwn, Milliseconds now)
+void noteWriting(Ledger &ledger, std::uint64_t id, Milliseconds now)
 {
     const auto found = ledger.works.find(id);
     if (found == ledger.works.end() || found->second.isWriting)
         return;
     Work &work = found->second;
-    work.isWriting = true;
-    for (std::size_t i = 0; i < work.engines.size(); ++i) {
-        EngineState &engine = ledger.engines[work.engines[i]];
-        if (i == 0 && isOwn && work.engines.size() == 1)
-            measurePace(engine, work, now);
-        finishReading(engine, work.readBy[i], i == 0, now);
+    for (const EngineKey key : work.engines) {
+        EngineState &engine = ledger.engines[key];
+        engine.lastReadAt
+            = std::max(engine.lastReadAt, std::min(now, readTime(ledger, engine, key, id, now)));
     }
+    work.isWriting = true;
+}
+
+void notePace(Ledger &ledger, std::uint64_t id, double expectedMs, double takenMs)
+{
+    const auto found = ledger.works.find(id);
+    if (found == ledger.works.end() || found->second.engines.size() > 1 || expectedMs < 1)
+        return;
+    EngineState &engine = ledger.engines[found->second.engines.front()];
+    const double measured = std::clamp(takenMs / expectedMs * engine.pace, 1.0, greatestPace);
+    engine.pace += (measured - engine.pace) * paceSmoothing;
 }
 
 void removeWork(Ledger &ledger, std::uint64_t id, Milliseconds now)
@@ -76,20 +82,17 @@
     const auto found = ledger.works.find(id);
     if (found == ledger.works.end())
         return;
-    const Work work = std::move(found->second);
-    ledger.works.erase(found);
-    for (std::size_t i = 0; i < work.engines.size(); ++i) {
-        EngineState &engine = ledger.engines[work.engines[i]];
+    for (const EngineKey key : found->second.engines) {
+        EngineState &engine = ledger.engines[key];
+        // A part that was under way has taken its engine's time until now.
+        if (!found->second.isWriting) {
+            engine.lastReadAt = std::max(
+                engine.lastReadAt, std::min(now, readTime(ledger, engine, key, id, now)));
+        }
         engine.works.erase(std::remove(engine.works.begin(), engine.works.end(), id),
                            engine.works.end());
-        if (work.isWriting)
-            continue;
-        engine.reading = std::max(0, engine.reading - 1);
-        const Milliseconds left = std::min(rounded(work.partMs * engine.pace),
-                                           std::max(work.readBy[i] - now, Milliseconds()));
-        engine.readFreeAt = engine.reading == 0 ? std::min(engine.readFreeAt, now)
-                                                : std::max(now, engine.readFreeAt - left);
     }
+    ledger.works.erase(found);
 }
 
 void removeWorksOf(Ledger &ledger, const std::string &owner, Milliseconds now)
@@ -123,9 +126,10 @@
 double readingBacklog(const Ledger &ledger, EngineKey engine, Milliseconds now)
 {
     const auto found = ledger.engines.find(engine);
-    if (found == ledger.engines.end() || found->second.reading == 0)
+    if (found == ledger.engines.end())
         return 0;
-    return std::max(0.0, static_cast<double>((found->second.readFreeAt - now).count()));
+    const Milliseconds free = readTime(ledger, found->second, engine, 0, now);
+    return std::max(0.0, static_cast<double>((free - now).count()));
 }
 
 } // namespace egretmount::placement
