Distrust only silent targets; move a quiet stream only to a better place

A handful of the 23 engines was left and took everything: 60 placements on one engine within 0.2 s, which then looked silent, so its streams were cut and resumed on the next. 1,150 requests ran twice.

Change: only a target that does not answer is left out, and only while 70 % of the service is trusted; other failures add to its cost. A stream leaves a quiet target only if a placement and a repeat are granted first, and its target's known reading is allowed for.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -26,9 +26,12 @@
 constexpr int patiencePauses = 8;
 // How often a send is checked for silence.
 constexpr Milliseconds silenceCheck = Milliseconds(150);
-// A target that sends nothing on any connection for this long may be gone. A living one sends an
-// event to some stream at least every few hundred milliseconds.
-constexpr Milliseconds silentTarget = Milliseconds(700);
+// A target that sends nothing on any connection for this long, beyond the time that its known
+// reading takes, may be gone: a living one sends an event to some stream every few hundred
+// milliseconds.
+constexpr Milliseconds silentTarget = Milliseconds(1'000);
+constexpr double silentPauses = 2; // pause targets without an event of the stream
+constexpr double silentEstimates = 2; // times the time expected to the first event
 // An idempotent request is repeated elsewhere if nothing has come after this share of its time:
 // late enough for a busy target, early enough for a second one.
 constexpr double plainSilenceShare = 0.5;
@@ -136,7 +139,8 @@
     demand.latencyTarget = m_route->latencyTarget;
     demand.pauseTarget = m_route->pauseTarget;
     demand.patience = std::min(timeLeft(), patienceOf(*m_route));
-    return m_services.placement.placePrompt(*m_service, demand, m_failedTargets, timeLeft());
+    return m_services.placement.placePrompt(*m_service, demand, m_failedTargets, timeLeft(),
+                                            m_history.sends == 0);
 }
 
 void Exchange::send()
@@ -351,36 +355,53 @@
     });
 }
 
+bool Exchange::isTargetSilent() const
+{
+    const Milliseconds now = m_services.reactor.now();
+    const double quiet = static_cast<double>((now - m_lastEventAt).count());
+    if (m_placement.work == 0)
+        return quiet > plainSilenceShare * static_cast<double>((m_endsAt - m_arrivedAt).count());
+    const TargetHealth &health = m_services.targets.health(keyOf(m_placement.target.id));
+    const double unheard
+        = static_cast<double>((now - std::max(health.lastHeard, m_sentAt)).count());
+    const double least = m_isWriting ? silentPauses * static_cast<double>(m_route->pauseTarget.count())
+                                     : silentEstimates * m_placement.expectedMs;
+    // A target that reads long prompts sends nothing meanwhile.
+    const double allowed = std::max(least, static_cast<double>(silentTarget.count()))
+        + m_services.placement.readingBacklog(m_placement.target.id);
+    return unheard > allowed && quiet > allowed;
+}
+
 void Exchange::onSilent()
 {
     if (m_isOver)
         return;
-    const Milliseconds now = m_services.reactor.now();
-    const Milliseconds quiet = now - m_lastEventAt;
     const limits::NextStep step = limits::nextStep(*m_route, SendFailure::Broken, m_history);
     const bool mayMove = step == NextStep::SendAgain || step == NextStep::ResumeElsewhere;
-    bool isSilent = false;
-    if (m_placement.work == 0) {
-        isSilent = quiet.count() > plainSilenceShare * static_cast<double>((m_endsAt - m_arrivedAt).count());
-    } else {
-        const TargetHealth &health = m_services.targets.health(keyOf(m_placement.target.id));
-        const Milliseconds heard = now - std::max(health.lastHeard, m_sentAt);
-        const double allowed = m_isWriting
-            ? std::max<double>(3.0 * static_cast<double>(m_route->pauseTarget.count()), 900)
-            : 2.5 * m_placement.expectedMs + 600;
-        isSilent = heard > silentTarget && static_cast<double>(quiet.count()) > allowed;
+    if (!mayMove || !isTargetSilent()) {
+        watchSilence();
+        return;
     }
-    if (!isSilent || !mayMove) {
+    // The present send goes on unless there is something better: a silent target may yet answer.
+    std::set<TargetId> excluded = m_failedTargets;
+    excluded.insert(m_placement.target.id);
+    const TargetId silent = m_placement.target.id;
+    std::swap(excluded, m_failedTargets);
+    const tl::expected<Placement, Refusal> placed = place();
+    if (!placed || !m_services.ingress.takeRepeat(m_service->id)) {
+        if (placed)
+            m_services.placement.noteEnd(placed->work);
+        std::swap(excluded, m_failedTargets);
         watchSilence();
         return;
     }
-    const std::shared_ptr<Exchange> self = shared_from_this();
-    LOG(INFO) << "exchange: target silent id=" << m_caller.requestId
-              << " target=" << m_placement.target.id.value << " quiet_ms=" << quiet.count();
+    LOG(INFO) << "exchange: target silent id=" << m_caller.requestId << " target=" << silent.value
+              << " quiet_ms=" << (m_services.reactor.now() - m_lastEventAt).count()
+              << " events=" << m_scanner.count << " step=" << nameOf(step);
     m_send.cancel();
     endSend();
-    m_services.targets.noteFailure(keyOf(m_placement.target.id), m_placement.work != 0);
-    handleFailure(SendFailure::Broken);
+    m_services.targets.noteFailure(keyOf(silent), m_service->engine.has_value());
+    sendTo(*placed);
 }
 
 void Exchange::endSend()
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -55,6 +55,7 @@
     void handleFailure(limits::SendFailure failure);
     void watchSilence();
     void onSilent();
+    bool isTargetSilent() const;
     void onCallerGone();
     void onTimeUp();
     void endSend();
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -17,6 +17,10 @@
 constexpr double unlistedPenalty = 0.5; // may have left already
 constexpr double coldPenalty = 0.3; // slow for its first seconds
 constexpr double failurePenalty = 1; // times the share of recent sends that failed
+constexpr double distrustPenalty = 1;
+// Distrusted targets are left out as long as this share of a service's targets is trusted. Below
+// it the rest would be crowded, and the fault may be this instance's own.
+constexpr double trustedShare = 0.7;
 constexpr double otherZonePenalty = 0.001; // breaks ties; a hop costs a millisecond or two
 // A request is refused if its answer is expected later than this share of the caller's patience:
 // the estimate is off by a fifth or so.
@@ -60,8 +64,10 @@
             continue;
         (m_targets->isDistrusted(keyOf(id)) ? distrusted : trusted).push_back(&target);
     }
-    // With nobody left to trust, a doubtful target is better than a refusal.
-    return trusted.empty() ? distrusted : trusted;
+    const double all = static_cast<double>(trusted.size() + distrusted.size());
+    if (static_cast<double>(trusted.size()) < trustedShare * all)
+        trusted.insert(trusted.end(), distrusted.begin(), distrusted.end());
+    return trusted;
 }
 
 placement::Candidate PlacementService::candidateOf(const fleet::Target &target,
@@ -72,6 +78,10 @@
     candidate.key = keyOf(target.entry.id);
     const TargetHealth &health = m_targets->health(candidate.key);
     candidate.penalty = failurePenalty * health.failureRate;
+    if (m_targets->isDistrusted(candidate.key)) {
+        candidate.penalty += distrustPenalty;
+        candidate.mayHelp = false;
+    }
     if (target.isUnlisted)
         candidate.penalty += unlistedPenalty;
     if (target.entry.zone != m_fleet->settings().zone)
@@ -90,7 +100,8 @@
 
 tl::expected<Placement, Refusal>
 PlacementService::placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
-                              const std::set<TargetId> &excluded, Milliseconds life)
+                              const std::set<TargetId> &excluded, Milliseconds life,
+                              bool refusesLate)
 {
     const Milliseconds now = m_reactor.now();
     std::set<TargetId> unavailable = excluded;
@@ -107,7 +118,7 @@
         if (!plan)
             return tl::unexpected(Refusal { RefusalReason::AllFull, fullDelay });
         const double latest = patienceShare * static_cast<double>(demand.patience.count());
-        if (plan->firstEventMs > latest) {
+        if (refusesLate && plan->firstEventMs > latest) {
             const double wait = plan->firstEventMs
                 - static_cast<double>(demand.latencyTarget.count());
             return tl::unexpected(Refusal { RefusalReason::TooLate, roundedUp(wait) });
@@ -183,6 +194,11 @@
     m_peers->tellWriting(work);
 }
 
+double PlacementService::readingBacklog(const TargetId &target) const
+{
+    return placement::readingBacklog(m_ledger, keyOf(target), m_reactor.now());
+}
+
 void PlacementService::noteEnd(std::uint64_t work)
 {
     if (work == 0)
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -61,10 +61,12 @@
     /// @brief Places a request with a prompt and tells the other instances.
     /// @param excluded Targets that have failed this request.
     /// @param life How long the request may take.
+    /// @param refusesLate False: place it even if its first event will be too late, as it has run
+    ///        before and a refusal would no longer be true.
     tl::expected<Placement, Refusal> placePrompt(const fleet::ServiceSpec &service,
                                                  placement::Demand demand,
                                                  const std::set<TargetId> &excluded,
-                                                 Milliseconds life);
+                                                 Milliseconds life, bool refusesLate);
 
     /// @brief Places a request without a prompt.
     tl::expected<Placement, Refusal> placePlain(const fleet::ServiceSpec &service,
@@ -74,6 +76,9 @@
     /// @param expectedMs What was expected at its placement. @param takenMs What it took.
     void noteWriting(std::uint64_t work, double expectedMs, double takenMs);
 
+    /// @brief Milliseconds until a target has read what is placed there.
+    double readingBacklog(const TargetId &target) const;
+
     /// @brief A work placed here has ended.
     void noteEnd(std::uint64_t work);
 
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -118,16 +118,17 @@
     TargetHealth &health = m_health[target];
     ++health.failuresInRow;
     health.failureRate += (1 - health.failureRate) * failureSmoothing;
-    if (!isSilent && health.failuresInRow < 2)
+    // A target that answers at all is alive: its share of failures makes it a worse choice, and
+    // keeping off it would only crowd the others.
+    if (!isSilent)
         return;
     const int doublings = std::min(health.failuresInRow - 1, 4);
     const Milliseconds time = std::min(firstDistrust * (std::int64_t(1) << doublings),
                                        longestDistrust);
     health.distrustedUntil = std::max(health.distrustedUntil, m_reactor.now() + time);
     LOG(INFO) << "targets: distrusted target=" << target << " failures=" << health.failuresInRow
-              << " silent=" << isSilent << " for_ms=" << time.count();
-    if (isSilent)
-        m_peers->tellDistrust(target);
+              << " for_ms=" << time.count();
+    m_peers->tellDistrust(target);
 }
 
 void TargetPool::distrustUntil(placement::EngineKey target, Milliseconds until)
