Keep a short lane that follows the demand for short requests

Cause: in a wave of long prompts every engine read parts of them. The few short requests then in hand protected no engine, and as more of them were late or refused, fewer engines still counted as needed for them.

Change: the first usable engines in the order of their keys form a lane in which nothing long is read. Its size follows the expected number of short requests in hand (arrivals at this instance times the instances, and what the ledger knows); a tenth of the engines always stays out of it.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -260,7 +260,7 @@
 void Exchange::onAnswerComplete()
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
-    endSend();
+    endSend(m_answerHead.status == 200);
     const placement::EngineKey key = keyOf(m_placement.target.id);
     if (m_isEventStream && !m_scanner.partial.empty()) {
         // The answer ended in the middle of an event: the target broke off.
@@ -390,7 +390,7 @@
     const tl::expected<Placement, Refusal> placed = place();
     if (!placed || !m_services.ingress.takeRepeat(m_service->id)) {
         if (placed)
-            m_services.placement.noteEnd(placed->work);
+            m_services.placement.noteEnd(placed->work, false);
         std::swap(excluded, m_failedTargets);
         watchSilence();
         return;
@@ -404,11 +404,11 @@
     sendTo(*placed);
 }
 
-void Exchange::endSend()
+void Exchange::endSend(bool isServed)
 {
     m_services.reactor.cancel(m_silenceTimer);
     if (m_placement.work != 0) {
-        m_services.placement.noteEnd(m_placement.work);
+        m_services.placement.noteEnd(m_placement.work, isServed);
         m_placement.work = 0;
     }
 }
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -58,7 +58,7 @@
     bool isTargetSilent() const;
     void onCallerGone();
     void onTimeUp();
-    void endSend();
+    void endSend(bool isServed = false);
     void passEvents(const std::string &bytes);
     void passBuffered();
     void answerOwn(int status, std::string_view reason, Milliseconds retryAfter = Milliseconds());
--- a/apps/node/peer_news.capnp
+++ b/apps/node/peer_news.capnp
@@ -24,6 +24,7 @@
   lifeMs @7 :UInt32;
   # Until nobody waits for it any longer.
   isWriting @8 :Bool;
+  isShort @9 :Bool;
 }
 
 struct Distrust {
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -51,6 +51,7 @@
     out.setAgeMs(static_cast<std::uint32_t>((now - work.placedAt).count()));
     out.setLifeMs(static_cast<std::uint32_t>(std::max<std::int64_t>((work.expiresAt - now).count(), 0)));
     out.setIsWriting(work.isWriting);
+    out.setIsShort(work.isShort);
 }
 
 placement::Work readWork(wire::PlacedWork::Reader in, const std::string &owner, Milliseconds now)
@@ -67,6 +68,7 @@
     work.placedAt = now - Milliseconds(in.getAgeMs());
     work.expiresAt = now + Milliseconds(in.getLifeMs());
     work.isWriting = in.getIsWriting();
+    work.isShort = in.getIsShort();
     return work;
 }
 
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -98,6 +98,19 @@
     return candidate;
 }
 
+placement::Outlook PlacementService::outlook() const
+{
+    // Callers spread over the instances at random, so each one sees its share of the demand. What
+    // is known to be in hand bounds the estimate from below; requests that were refused are missing there.
+    const double inHand = static_cast<double>(
+        std::count_if(m_ledger.works.begin(), m_ledger.works.end(), [&](const auto &entry) {
+            return entry.second.isShort;
+        }));
+    const double expected = placement::expectedInHand(m_shortDemand, m_reactor.now())
+        * static_cast<double>(m_peers->servingHosts().size());
+    return { std::max(inHand, (inHand + expected) / 2) };
+}
+
 tl::expected<Placement, Refusal>
 PlacementService::placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
                               const std::set<TargetId> &excluded, Milliseconds life,
@@ -105,6 +118,8 @@
 {
     const Milliseconds now = m_reactor.now();
     std::set<TargetId> unavailable = excluded;
+    if (refusesLate && placement::isShort(*service.engine, demand.promptTokens))
+        placement::noteArrival(m_shortDemand, now);
     while (true) {
         const std::vector<const fleet::Target *> targets
             = usableTargets(service.id, unavailable);
@@ -114,7 +129,8 @@
         for (const fleet::Target *target : targets)
             candidates.push_back(candidateOf(*target, service, demand.weight));
         const std::optional<placement::Plan> plan
-            = placement::planPlacement(m_ledger, *service.engine, candidates, demand, now);
+            = placement::planPlacement(m_ledger, *service.engine, candidates, demand,
+                                       outlook(), now);
         if (!plan)
             return tl::unexpected(Refusal { RefusalReason::AllFull, fullDelay });
         const double latest = patienceShare * static_cast<double>(demand.patience.count());
@@ -144,6 +160,7 @@
         work.owner = m_fleet->settings().host;
         work.engines = plan->engines;
         work.promptTokens = demand.promptTokens;
+        work.isShort = placement::isShort(*service.engine, demand.promptTokens);
         work.partMs = plan->partMs;
         work.weight = demand.weight;
         work.pauseTarget = demand.pauseTarget;
@@ -199,10 +216,13 @@
     return placement::readingBacklog(m_ledger, keyOf(target), m_reactor.now());
 }
 
-void PlacementService::noteEnd(std::uint64_t work)
+void PlacementService::noteEnd(std::uint64_t work, bool isServed)
 {
     if (work == 0)
         return;
+    const placement::Work *known = findWork(work);
+    if (known != nullptr && isServed && known->isShort)
+        placement::noteServed(m_shortDemand, m_reactor.now() - known->placedAt);
     placement::removeWork(m_ledger, work, m_reactor.now());
     m_peers->tellEnded(work);
 }
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -11,6 +11,7 @@
 #include <egretmount/fleet/configuration.h>
 #include <egretmount/fleet/target_table.h>
 #include <egretmount/limits/cold_gate.h>
+#include <egretmount/placement/demand_rate.h>
 #include <egretmount/placement/ledger.h>
 #include <egretmount/placement/planner.h>
 
@@ -80,7 +81,8 @@
     double readingBacklog(const TargetId &target) const;
 
     /// @brief A work placed here has ended.
-    void noteEnd(std::uint64_t work);
+    /// @param isServed Its whole answer has come.
+    void noteEnd(std::uint64_t work, bool isServed);
 
     /// @name What other instances tell
     /// @{
@@ -105,7 +107,10 @@
     FleetService *m_fleet = nullptr;
     PeerService *m_peers = nullptr;
     TargetPool *m_targets = nullptr;
+    placement::Outlook outlook() const;
+
     placement::Ledger m_ledger;
+    placement::DemandRate m_shortDemand; ///< Of this instance's callers.
     limits::ColdGate m_coldGate;
     std::mt19937_64 m_random;
     std::uint64_t m_nextWork;
--- a/include/egretmount/placement/ledger.h
+++ b/include/egretmount/placement/ledger.h
@@ -26,6 +26,7 @@
     Milliseconds pauseTarget; ///< Zero: none stated.
     Milliseconds placedAt;
     Milliseconds expiresAt; ///< Nobody waits for it any longer.
+    bool isShort = false; ///< Its prompt hardly disturbs the streams of its engine.
     bool isWriting = false; ///< Its first event has come.
 };
 
--- a/include/egretmount/placement/planner.h
+++ b/include/egretmount/placement/planner.h
@@ -37,6 +37,12 @@
     double cost = 0;
 };
 
+/// @brief What is expected to come besides the request at hand.
+struct Outlook
+{
+    double shortRequests = 0; ///< Short requests that will be in hand at all engines together.
+};
+
 /// @brief Engines that one prompt is spread over at most: the first and 16 helpers.
 constexpr int maxParts = 17;
 
@@ -47,15 +53,25 @@
 /// people; the service's usual prompt sets the scale.
 double weightOf(const fleet::EngineSpeed &speed, TokenCount promptTokens);
 
+/// @brief True if a prompt is read so fast that it hardly disturbs the streams of its engine.
+bool isShort(const fleet::EngineSpeed &speed, TokenCount promptTokens);
+
+/// @brief How many engines short requests are given to themselves.
+///
+/// Follows the expected demand within a second or two; some engines always remain for long prompts.
+/// @param engines Engines that may be used.
+int shortLaneSize(const fleet::EngineSpeed &speed, const Outlook &outlook, int engines);
+
 /// @brief Chooses the engines for a request.
 ///
-/// Weighs the request's expected lateness, the pauses that its reading causes to streams that are
-/// being written, and how many engines stay clear of long reading for short requests. Pure: the
-/// same arguments give the same plan.
+/// Weighs the request's expected lateness against the pauses that its reading causes to streams
+/// that are being written. The first engines in the order of their keys form the short lane, where
+/// nothing long is read: all instances agree on it without a message. Pure: the same arguments give
+/// the same plan.
 /// @return Nothing if no candidate has a place and memory for it.
 /// @complexity Candidates times log candidates for each of eight numbers of parts.
 std::optional<Plan> planPlacement(const Ledger &ledger, const fleet::EngineSpeed &speed,
                                   const std::vector<Candidate> &candidates, const Demand &demand,
-                                  Milliseconds now);
+                                  const Outlook &outlook, Milliseconds now);
 
 } // namespace egretmount::placement
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -24,10 +24,17 @@
 constexpr double partLoss = 0.004;
 // Cost of taking an engine that nobody writes at; keeps writers of a kind together.
 constexpr double spreadLoss = 0.06;
-// Cost of reading on an engine that short requests will need, for each such engine.
-constexpr double headroomLoss = 4;
-// Reading beyond this, in a pass, makes an engine unfit for requests with the shortest targets.
-constexpr double shortReadingMs = 150;
+// A prompt that an engine reads within this time is short: with the rest of a pass it stays below
+// the shortest pauses that callers notice.
+constexpr double shortReadingMs = 200;
+// Reading of a long prompt's part that the short lane bears, with what is to be read there already.
+constexpr double laneReadingMs = 90;
+// Part of an engine's slots that the short lane is planned to fill: arrivals come in clumps.
+constexpr double laneFill = 0.7;
+// Part of all engines that the short lane leaves to long prompts.
+constexpr double longShare = 0.1;
+// Cost of placing a short request outside its lane, as a share of its weight.
+constexpr double outOfLaneLoss = 0.1;
 // Requests that write at one engine before short ones are sent elsewhere, as a share of its slots.
 constexpr double slotFill = 0.8;
 // Fixed time of a request on the way to an engine and back, milliseconds.
@@ -51,6 +58,7 @@
     int helped = 0;
     int shortWriters = 0; // with a pause target as tight as the demand's, or tighter
     TokenCount memory = 0;
+    bool isInLane = false;
     std::vector<std::pair<double, double>> pauses; // pause target and weight of each stream
 };
 
@@ -106,9 +114,9 @@
     return std::max(harm, 0.0);
 }
 
-bool isClear(const Load &load)
+bool mayRead(const Load &load, bool isLongPrompt, double partMs)
 {
-    return load.backlog < shortReadingMs;
+    return !isLongPrompt || !load.isInLane || load.backlog + partMs <= laneReadingMs;
 }
 
 double latenessCost(const Demand &demand, double firstEventMs)
@@ -147,26 +155,32 @@
             <= speed.memoryTokens;
 }
 
-// Engines that short requests are expected to need free of long reading.
-int shortEnginesNeeded(const Ledger &ledger, const fleet::EngineSpeed &speed)
+// Marks the short lane: the first usable engines in the order of their keys.
+void markLane(std::vector<Load> &loads, int size)
 {
-    int shortWorks = 0;
-    for (const auto &[id, work] : ledger.works) {
-        if (work.promptTokens <= speed.usualPrompt * 2)
-            ++shortWorks;
+    std::vector<Load *> inOrder;
+    for (Load &load : loads) {
+        if (load.candidate->mayReceive && load.candidate->mayHelp)
+            inOrder.push_back(&load);
     }
-    return static_cast<int>(std::ceil(shortWorks / (slotFill * speed.slots))) + 1;
+    std::sort(inOrder.begin(), inOrder.end(), [](const Load *a, const Load *b) {
+        return a->candidate->key < b->candidate->key;
+    });
+    for (std::size_t i = 0; i < inOrder.size() && static_cast<int>(i) < size; ++i)
+        inOrder[i]->isInLane = true;
 }
 
 std::optional<Plan> planParts(const std::vector<Load> &loads, const fleet::EngineSpeed &speed,
-                              const Demand &demand, int parts, int spareClear)
+                              const Demand &demand, int parts)
 {
+    const bool isLongPrompt = !isShort(speed, demand.promptTokens);
     const double partMs = partReadingTime(speed, demand.promptTokens, parts);
     const TokenCount partTokens = demand.promptTokens / parts;
     const double perPass = readingPerPass(speed, partMs, partTokens);
     std::vector<Option> options;
     for (const Load &load : loads) {
-        if (!load.candidate->mayHelp && !load.candidate->mayReceive)
+        const bool isUsable = load.candidate->mayHelp || load.candidate->mayReceive;
+        if (!isUsable || !mayRead(load, isLongPrompt, partMs))
             continue;
         Option option;
         option.load = &load;
@@ -174,6 +188,8 @@
         option.finish = load.backlog + partMs * load.pace + wait;
         option.cost = pauseHarm(load, partMs * load.pace, perPass) + load.candidate->penalty
             + latenessCost(demand, option.finish);
+        if (!isLongPrompt && !load.isInLane)
+            option.cost += demand.weight * outOfLaneLoss;
         options.push_back(option);
     }
     if (options.size() < static_cast<std::size_t>(parts))
@@ -197,7 +213,6 @@
     plan.engines.push_back(firstLoad->candidate->key);
     double finish = first->finish;
     double harm = firstCost - latenessCost(demand, first->finish);
-    int takenClear = isClear(*firstLoad) && partMs > shortReadingMs ? 1 : 0;
     std::sort(options.begin(), options.end(),
               [](const Option &a, const Option &b) { return a.cost < b.cost; });
     for (const Option &option : options) {
@@ -209,14 +224,11 @@
         plan.engines.push_back(option.load->candidate->key);
         finish = std::max(finish, option.finish);
         harm += option.cost - latenessCost(demand, option.finish);
-        if (isClear(*option.load) && partMs > shortReadingMs)
-            ++takenClear;
     }
     if (plan.engines.size() < static_cast<std::size_t>(parts))
         return std::nullopt;
     plan.firstEventMs = finish + firstLoad->passMs + transitMs;
-    plan.cost = harm + latenessCost(demand, plan.firstEventMs) + demand.weight * partLoss * parts
-        + headroomLoss * std::max(0, takenClear - std::max(spareClear, 0));
+    plan.cost = harm + latenessCost(demand, plan.firstEventMs) + demand.weight * partLoss * parts;
     return plan;
 }
 
@@ -228,21 +240,33 @@
     return 1 + static_cast<double>(promptTokens) / usual;
 }
 
+bool isShort(const fleet::EngineSpeed &speed, TokenCount promptTokens)
+{
+    return partReadingTime(speed, promptTokens, 1) <= shortReadingMs;
+}
+
+int shortLaneSize(const fleet::EngineSpeed &speed, const Outlook &outlook, int engines)
+{
+    const int needed
+        = static_cast<int>(std::ceil(outlook.shortRequests / (laneFill * speed.slots))) + 1;
+    const int forLong = std::max(1, static_cast<int>(std::lround(engines * longShare)));
+    return std::clamp(needed, 0, std::max(0, engines - forLong));
+}
+
 std::optional<Plan> planPlacement(const Ledger &ledger, const fleet::EngineSpeed &speed,
                                   const std::vector<Candidate> &candidates, const Demand &demand,
-                                  Milliseconds now)
+                                  const Outlook &outlook, Milliseconds now)
 {
     std::vector<Load> loads;
     loads.reserve(candidates.size());
     for (const Candidate &candidate : candidates)
         loads.push_back(loadOf(ledger, speed, candidate, demand, now));
-    const int clear = static_cast<int>(std::count_if(loads.begin(), loads.end(), isClear));
-    const int spareClear = clear - shortEnginesNeeded(ledger, speed);
+    markLane(loads, shortLaneSize(speed, outlook, static_cast<int>(loads.size())));
     std::optional<Plan> best;
     for (const int parts : partChoices) {
         if (parts > 1 && demand.promptTokens / parts < speed.chunkTokens)
             break;
-        const std::optional<Plan> plan = planParts(loads, speed, demand, parts, spareClear);
+        const std::optional<Plan> plan = planParts(loads, speed, demand, parts);
         if (plan && (!best || plan->cost < best->cost))
             best = plan;
     }
