Let long prompts wait in one line for free engines

Cause: an engine reads the part that came last ahead of those it has begun. Each further long prompt that was placed on busy engines held up the earlier ones: prompts 160 ms short of their first event waited seconds more, looked silent, and were read again elsewhere.

Change: a long prompt waits at its instance until enough engines are free; all instances know who waits and agree whose turn it is (arrival plus a quarter of the reading time). The planner weighs the delay that a part causes to those it would go ahead of, so small prompts still pass.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -41,6 +41,14 @@
 constexpr Milliseconds stoppingDelay = Milliseconds(50);
 constexpr Milliseconds unknownConfigurationDelay = Milliseconds(500);
 
+std::string joined(const std::vector<TargetId> &ids)
+{
+    std::string text;
+    for (const TargetId &id : ids)
+        text.append(text.empty() ? "" : ",").append(id.value);
+    return text.empty() ? "none" : text;
+}
+
 Milliseconds patienceOf(const fleet::Route &route)
 {
     return std::max({ leastPatience, route.latencyTarget * patienceTargets,
@@ -65,6 +73,7 @@
 {
     m_services.reactor.cancel(m_endTimer);
     m_services.reactor.cancel(m_silenceTimer);
+    m_services.reactor.cancel(m_turnTimer);
 }
 
 void Exchange::start(std::shared_ptr<const fleet::Configuration> configuration, double serviceDraw)
@@ -128,7 +137,7 @@
     return std::max(m_endsAt - m_services.reactor.now(), Milliseconds());
 }
 
-tl::expected<Placement, Refusal> Exchange::place()
+Decision Exchange::place()
 {
     if (!m_service->engine || m_caller.promptTokens == 0)
         return m_services.placement.placePlain(*m_service, m_failedTargets);
@@ -137,31 +146,57 @@
     demand.answerTokens = m_caller.answerTokens;
     demand.weight = placement::weightOf(*m_service->engine, m_caller.promptTokens);
     demand.latencyTarget = m_route->latencyTarget;
+    demand.waited = m_services.reactor.now() - m_arrivedAt;
     demand.pauseTarget = m_route->pauseTarget;
     demand.patience = std::min(timeLeft(), patienceOf(*m_route));
     return m_services.placement.placePrompt(*m_service, demand, m_failedTargets, timeLeft(),
-                                            m_history.sends == 0);
+                                            m_waitingWork, m_history.sends > 0);
 }
 
 void Exchange::send()
 {
-    const tl::expected<Placement, Refusal> placed = place();
-    if (!placed) {
-        LOG(INFO) << "placement: refused id=" << m_caller.requestId
-                  << " reason=" << nameOf(placed.error().reason)
-                  << " tokens=" << m_caller.promptTokens << " left_ms=" << timeLeft().count()
-                  << " retry_after_ms=" << placed.error().retryAfter.count();
-        if (m_history.hasAnswerBegun)
-            breakOff("nowhere-to-resume");
-        else if (m_hasFallback)
-            passBuffered();
-        else if (limits::verdictOf(m_history) == Verdict::NotRun)
-            answerNotRun(nameOf(placed.error().reason), placed.error().retryAfter);
-        else
-            answerOwn(502, "target-failed");
-        return;
+    const Decision decision = place();
+    if (const Placement *placement = std::get_if<Placement>(&decision)) {
+        m_waitingWork = 0;
+        sendTo(*placement);
+    } else if (const Waiting *waiting = std::get_if<Waiting>(&decision)) {
+        waitForTurn(*waiting);
+    } else {
+        handleRefusal(std::get<Refusal>(decision));
+    }
+}
+
+void Exchange::waitForTurn(const Waiting &waiting)
+{
+    if (m_waitingWork == 0) {
+        LOG(INFO) << "placement: waits id=" << m_caller.requestId
+                  << " tokens=" << m_caller.promptTokens << " left_ms=" << timeLeft().count();
     }
-    sendTo(*placed);
+    m_waitingWork = waiting.work;
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_turnTimer = m_services.reactor.after(waiting.askAgainIn, [weak] {
+        if (const std::shared_ptr<Exchange> self = weak.lock()) {
+            self->m_turnTimer = 0;
+            self->send();
+        }
+    });
+}
+
+void Exchange::handleRefusal(const Refusal &refusal)
+{
+    LOG(INFO) << "placement: refused id=" << m_caller.requestId
+              << " reason=" << nameOf(refusal.reason) << " tokens=" << m_caller.promptTokens
+              << " left_ms=" << timeLeft().count()
+              << " retry_after_ms=" << refusal.retryAfter.count();
+    endSend();
+    if (m_history.hasAnswerBegun)
+        breakOff("nowhere-to-resume");
+    else if (m_hasFallback)
+        passBuffered();
+    else if (limits::verdictOf(m_history) == Verdict::NotRun)
+        answerNotRun(nameOf(refusal.reason), refusal.retryAfter);
+    else
+        answerOwn(502, "target-failed");
 }
 
 void Exchange::sendTo(const Placement &placement)
@@ -178,8 +213,9 @@
     m_scanner.partial.clear();
     m_buffer.clear();
     LOG(INFO) << "placement: sent id=" << m_caller.requestId << " target=" << placement.target.id.value
-              << " helpers=" << placement.helperAddresses.size() << " part_ms=" << placement.partMs
-              << " tokens=" << m_caller.promptTokens << " expected_ms=" << placement.expectedMs
+              << " helpers=" << joined(placement.helpers) << " part_ms=" << placement.partMs
+              << " tokens=" << m_caller.promptTokens << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
+              << " expected_ms=" << placement.expectedMs
               << " left_ms=" << fields.timeLeft.count() << " sends=" << m_history.sends
               << " config=" << m_configuration->version;
     const bool mustBeFresh = m_route->repetition == fleet::Repetition::AtMostOnce
@@ -387,10 +423,11 @@
     excluded.insert(m_placement.target.id);
     const TargetId silent = m_placement.target.id;
     std::swap(excluded, m_failedTargets);
-    const tl::expected<Placement, Refusal> placed = place();
-    if (!placed || !m_services.ingress.takeRepeat(m_service->id)) {
-        if (placed)
-            m_services.placement.noteEnd(placed->work, false);
+    const Decision decision = place();
+    const Placement *placement = std::get_if<Placement>(&decision);
+    if (placement == nullptr || !m_services.ingress.takeRepeat(m_service->id)) {
+        if (placement != nullptr)
+            m_services.placement.noteEnd(placement->work, false);
         std::swap(excluded, m_failedTargets);
         watchSilence();
         return;
@@ -401,12 +438,17 @@
     m_send.cancel();
     endSend();
     m_services.targets.noteFailure(keyOf(silent), m_service->engine.has_value());
-    sendTo(*placed);
+    sendTo(*placement);
 }
 
 void Exchange::endSend(bool isServed)
 {
     m_services.reactor.cancel(m_silenceTimer);
+    m_services.reactor.cancel(m_turnTimer);
+    if (m_waitingWork != 0) {
+        m_services.placement.noteEnd(m_waitingWork, false);
+        m_waitingWork = 0;
+    }
     if (m_placement.work != 0) {
         m_services.placement.noteEnd(m_placement.work, isServed);
         m_placement.work = 0;
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -51,7 +51,9 @@
     bool checkRequest();
     void send();
     void sendTo(const Placement &placement);
-    tl::expected<Placement, Refusal> place();
+    Decision place();
+    void waitForTurn(const Waiting &waiting);
+    void handleRefusal(const Refusal &refusal);
     void handleFailure(limits::SendFailure failure);
     void watchSilence();
     void onSilent();
@@ -97,6 +99,8 @@
     Milliseconds m_longestPause; ///< Between two events passed on to the caller.
     net::TimerId m_endTimer = 0;
     net::TimerId m_silenceTimer = 0;
+    net::TimerId m_turnTimer = 0;
+    std::uint64_t m_waitingWork = 0; ///< Entry under which it waits for engines; zero: it does not.
     bool m_isWriting = false;
     bool m_isOver = false;
 };
--- a/apps/node/peer_news.capnp
+++ b/apps/node/peer_news.capnp
@@ -20,11 +20,21 @@
   weight @4 :Float32;
   pauseTargetMs @5 :UInt32;
   ageMs @6 :UInt32;
-  # Since the placement; clocks of instances differ, ages do not.
+  # Since it was sent; clocks of instances differ, ages do not.
   lifeMs @7 :UInt32;
   # Until nobody waits for it any longer.
   isWriting @8 :Bool;
   isShort @9 :Bool;
+  latencyTargetMs @10 :UInt32;
+  dueInMs @11 :Int32;
+  # Until its first event is late.
+}
+
+struct WaitingWork {
+  id @0 :UInt64;
+  readingMs @1 :Float32;
+  turnInMs @2 :Int32;
+  lifeMs @3 :UInt32;
 }
 
 struct Distrust {
@@ -41,7 +51,8 @@
   writing @4 :List(UInt64);
   ended @5 :List(UInt64);
   isStatement @6 :Bool;
-  # `placed` holds all work of the sender: what is missing there has ended.
+  # `placed` and `waiting` hold all work of the sender: what is missing there has ended.
   registryRevision @7 :Int64;
   distrusted @8 :List(Distrust);
+  waiting @9 :List(WaitingWork);
 }
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -52,6 +52,30 @@
     out.setLifeMs(static_cast<std::uint32_t>(std::max<std::int64_t>((work.expiresAt - now).count(), 0)));
     out.setIsWriting(work.isWriting);
     out.setIsShort(work.isShort);
+    out.setLatencyTargetMs(static_cast<std::uint32_t>(work.latencyTarget.count()));
+    out.setDueInMs(static_cast<std::int32_t>((work.dueAt - now).count()));
+}
+
+void writeWaiting(wire::WaitingWork::Builder out, const placement::WaitingWork &waiting,
+                  Milliseconds now)
+{
+    out.setId(waiting.id);
+    out.setReadingMs(static_cast<float>(waiting.readingMs));
+    out.setTurnInMs(static_cast<std::int32_t>((waiting.turn - now).count()));
+    out.setLifeMs(static_cast<std::uint32_t>(
+        std::max<std::int64_t>((waiting.expiresAt - now).count(), 0)));
+}
+
+placement::WaitingWork readWaiting(wire::WaitingWork::Reader in, const std::string &owner,
+                                   Milliseconds now)
+{
+    placement::WaitingWork waiting;
+    waiting.id = in.getId();
+    waiting.owner = owner;
+    waiting.readingMs = in.getReadingMs();
+    waiting.turn = now + Milliseconds(in.getTurnInMs());
+    waiting.expiresAt = now + Milliseconds(in.getLifeMs());
+    return waiting;
 }
 
 placement::Work readWork(wire::PlacedWork::Reader in, const std::string &owner, Milliseconds now)
@@ -69,9 +93,22 @@
     work.expiresAt = now + Milliseconds(in.getLifeMs());
     work.isWriting = in.getIsWriting();
     work.isShort = in.getIsShort();
+    work.latencyTarget = Milliseconds(in.getLatencyTargetMs());
+    work.dueAt = now + Milliseconds(in.getDueInMs());
     return work;
 }
 
+void writeWorks(wire::News::Builder news, const std::vector<const placement::Work *> &works,
+                const std::vector<const placement::WaitingWork *> &waiting, Milliseconds now)
+{
+    capnp::List<wire::PlacedWork>::Builder placed = news.initPlaced(works.size());
+    for (unsigned i = 0; i < works.size(); ++i)
+        writeWork(placed[i], *works[i], now);
+    capnp::List<wire::WaitingWork>::Builder waits = news.initWaiting(waiting.size());
+    for (unsigned i = 0; i < waiting.size(); ++i)
+        writeWaiting(waits[i], *waiting[i], now);
+}
+
 } // namespace
 
 /// @brief The datagram socket of the peer service.
@@ -225,13 +262,14 @@
     news.setIncarnation(m_roster.self.incarnation);
     news.setRegistryRevision(m_sync->revision());
     std::vector<const placement::Work *> works;
+    std::vector<const placement::WaitingWork *> waiting;
     for (const std::uint64_t id : m_placed) {
         if (const placement::Work *work = m_placement->findWork(id))
             works.push_back(work);
+        else if (const placement::WaitingWork *waits = m_placement->findWaiting(id))
+            waiting.push_back(waits);
     }
-    capnp::List<wire::PlacedWork>::Builder placed = news.initPlaced(works.size());
-    for (unsigned i = 0; i < works.size(); ++i)
-        writeWork(placed[i], *works[i], m_reactor.now());
+    writeWorks(news, works, waiting, m_reactor.now());
     capnp::List<std::uint64_t>::Builder writing = news.initWriting(m_writing.size());
     for (unsigned i = 0; i < m_writing.size(); ++i)
         writing.set(i, m_writing[i]);
@@ -259,9 +297,7 @@
     news.setIncarnation(m_roster.self.incarnation);
     news.setRegistryRevision(m_sync->revision());
     news.setIsStatement(true);
-    capnp::List<wire::PlacedWork>::Builder placed = news.initPlaced(works.size());
-    for (unsigned i = 0; i < works.size(); ++i)
-        writeWork(placed[i], *works[i], m_reactor.now());
+    writeWorks(news, works, m_placement->ownWaiting(), m_reactor.now());
     sendToAll(serialized(message));
 }
 
@@ -328,6 +364,10 @@
             stated.push_back(placed.getId());
             m_placement->noteRemoteWork(readWork(placed, host, now));
         }
+        for (const wire::WaitingWork::Reader waiting : news.getWaiting()) {
+            stated.push_back(waiting.getId());
+            m_placement->noteRemoteWaiting(readWaiting(waiting, host, now));
+        }
         for (const std::uint64_t id : news.getWriting())
             m_placement->noteRemoteWriting(id);
         for (const std::uint64_t id : news.getEnded())
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -46,7 +46,8 @@
     /// @brief Tells the other instances at once that this one leaves.
     void announceLeaving();
 
-    /// @brief Tells the others of a placement made here, of its first event, of its end.
+    /// @brief Tells the others of a placement made here or of one that waits, of its first event,
+    ///        of its end.
     void tellPlaced(std::uint64_t id);
     void tellWriting(std::uint64_t id);
     void tellEnded(std::uint64_t id);
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -5,6 +5,8 @@
 
 #include <glog/logging.h>
 
+#include <egretmount/placement/engine_cost.h>
+
 #include "fleet_service.h"
 #include "peer_service.h"
 #include "target_pool.h"
@@ -28,6 +30,11 @@
 // When to come back if no target is known: targets register again within about two seconds.
 constexpr Milliseconds noTargetDelay = Milliseconds(1'000);
 constexpr Milliseconds fullDelay = Milliseconds(400); // about a quarter of an answer's writing time
+// A part is sent although its engines have this much left to read, milliseconds: it is on the way
+// for a few, and estimates are no better.
+constexpr double startTolerance = 25;
+// How often a waiting prompt looks whether it has its turn and engines are free.
+constexpr Milliseconds askAgainDelay = Milliseconds(20);
 constexpr Milliseconds ledgerSweep = Milliseconds(250);
 
 Milliseconds roundedUp(double milliseconds)
@@ -111,69 +118,108 @@
     return { std::max(inHand, (inHand + expected) / 2) };
 }
 
-tl::expected<Placement, Refusal>
-PlacementService::placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
-                              const std::set<TargetId> &excluded, Milliseconds life,
-                              bool refusesLate)
+Decision PlacementService::placePrompt(const fleet::ServiceSpec &service,
+                                       placement::Demand demand,
+                                       const std::set<TargetId> &excluded, Milliseconds life,
+                                       std::uint64_t work, bool hasRun)
 {
     const Milliseconds now = m_reactor.now();
-    std::set<TargetId> unavailable = excluded;
-    if (refusesLate && placement::isShort(*service.engine, demand.promptTokens))
+    const bool isShort = placement::isShort(*service.engine, demand.promptTokens);
+    if (!hasRun && isShort)
         placement::noteArrival(m_shortDemand, now);
+    demand.mayWait = !hasRun;
+    if (!isShort && !hasRun
+        && !placement::isFirstInLine(m_ledger, work, turnOf(service, demand)))
+        return wait(service, demand, life, work);
+    std::set<TargetId> unavailable = excluded;
     while (true) {
         const std::vector<const fleet::Target *> targets
             = usableTargets(service.id, unavailable);
         if (targets.empty())
-            return tl::unexpected(Refusal { RefusalReason::NoTarget, noTargetDelay });
+            return Refusal { RefusalReason::NoTarget, noTargetDelay };
         std::vector<placement::Candidate> candidates;
         for (const fleet::Target *target : targets)
             candidates.push_back(candidateOf(*target, service, demand.weight));
-        const std::optional<placement::Plan> plan
-            = placement::planPlacement(m_ledger, *service.engine, candidates, demand,
-                                       outlook(), now);
+        const std::optional<placement::Plan> plan = placement::planPlacement(
+            m_ledger, *service.engine, candidates, demand, outlook(), now);
         if (!plan)
-            return tl::unexpected(Refusal { RefusalReason::AllFull, fullDelay });
+            return Refusal { RefusalReason::AllFull, fullDelay };
         const double latest = patienceShare * static_cast<double>(demand.patience.count());
-        if (refusesLate && plan->firstEventMs > latest) {
-            const double wait = plan->firstEventMs
+        if (!hasRun && plan->firstEventMs > latest) {
+            const double after = plan->firstEventMs
                 - static_cast<double>(demand.latencyTarget.count());
-            return tl::unexpected(Refusal { RefusalReason::TooLate, roundedUp(wait) });
+            return Refusal { RefusalReason::TooLate, roundedUp(after) };
         }
+        if (plan->startMs > startTolerance)
+            return wait(service, demand, life, work);
         const fleet::Target *first = m_fleet->targetWithKey(plan->engines.front());
-        if (fleet::isCold(*first, now)
-            && !limits::takeColdRequest(m_coldGate, first->entry.id,
-                                        service.coldRequestsPerSecond,
-                                        InstanceId(m_fleet->settings().host), m_peers->living(),
-                                        now)) {
-            unavailable.insert(first->entry.id);
-            continue;
-        }
-        Placement placed;
-        placed.target = first->entry;
-        placed.expectedMs = plan->firstEventMs;
-        placed.partMs = plan->partMs;
-        for (std::size_t i = 1; i < plan->engines.size(); ++i)
-            placed.helperAddresses.push_back(
-                m_fleet->targetWithKey(plan->engines[i])->entry.address);
-        placement::Work work;
-        work.id = placed.work = ++m_nextWork;
-        work.owner = m_fleet->settings().host;
-        work.engines = plan->engines;
-        work.promptTokens = demand.promptTokens;
-        work.isShort = placement::isShort(*service.engine, demand.promptTokens);
-        work.partMs = plan->partMs;
-        work.weight = demand.weight;
-        work.pauseTarget = demand.pauseTarget;
-        work.placedAt = now;
-        work.expiresAt = now + life;
-        placement::addWork(m_ledger, std::move(work), now);
-        m_peers->tellPlaced(placed.work);
-        return placed;
+        if (!fleet::isCold(*first, now)
+            || limits::takeColdRequest(m_coldGate, first->entry.id, service.coldRequestsPerSecond,
+                                       InstanceId(m_fleet->settings().host), m_peers->living(),
+                                       now))
+            return enter(service, demand, *plan, life, work);
+        unavailable.insert(first->entry.id);
+    }
+}
+
+Milliseconds PlacementService::turnOf(const fleet::ServiceSpec &service,
+                                      const placement::Demand &demand) const
+{
+    return placement::turnOf(
+        m_reactor.now() - demand.waited,
+        placement::partReadingTime(*service.engine, demand.promptTokens, 1));
+}
+
+Waiting PlacementService::wait(const fleet::ServiceSpec &service, const placement::Demand &demand,
+                               Milliseconds life, std::uint64_t work)
+{
+    if (work != 0 && m_ledger.waiting.count(work) > 0)
+        return { work, askAgainDelay };
+    placement::WaitingWork waiting;
+    waiting.id = work != 0 ? work : ++m_nextWork;
+    waiting.owner = m_fleet->settings().host;
+    waiting.readingMs = placement::partReadingTime(*service.engine, demand.promptTokens, 1);
+    waiting.turn = turnOf(service, demand);
+    waiting.expiresAt = m_reactor.now() + life;
+    placement::addWaiting(m_ledger, waiting);
+    m_peers->tellPlaced(waiting.id);
+    return { waiting.id, askAgainDelay };
+}
+
+Placement PlacementService::enter(const fleet::ServiceSpec &service,
+                                  const placement::Demand &demand, const placement::Plan &plan,
+                                  Milliseconds life, std::uint64_t work)
+{
+    const Milliseconds now = m_reactor.now();
+    Placement placed;
+    placed.target = m_fleet->targetWithKey(plan.engines.front())->entry;
+    placed.expectedMs = plan.firstEventMs;
+    placed.partMs = plan.partMs;
+    for (std::size_t i = 1; i < plan.engines.size(); ++i) {
+        const fleet::TargetEntry &helper = m_fleet->targetWithKey(plan.engines[i])->entry;
+        placed.helpers.push_back(helper.id);
+        placed.helperAddresses.push_back(helper.address);
     }
+    placement::Work entry;
+    entry.id = placed.work = work != 0 ? work : ++m_nextWork;
+    entry.owner = m_fleet->settings().host;
+    entry.engines = plan.engines;
+    entry.promptTokens = demand.promptTokens;
+    entry.isShort = placement::isShort(*service.engine, demand.promptTokens);
+    entry.partMs = plan.partMs;
+    entry.weight = demand.weight;
+    entry.latencyTarget = demand.latencyTarget;
+    entry.dueAt = now - demand.waited + demand.latencyTarget;
+    entry.pauseTarget = demand.pauseTarget;
+    entry.placedAt = now;
+    entry.expiresAt = now + life;
+    placement::addWork(m_ledger, std::move(entry));
+    m_peers->tellPlaced(placed.work);
+    return placed;
 }
 
-tl::expected<Placement, Refusal>
-PlacementService::placePlain(const fleet::ServiceSpec &service, const std::set<TargetId> &excluded)
+Decision PlacementService::placePlain(const fleet::ServiceSpec &service,
+                                      const std::set<TargetId> &excluded)
 {
     const Milliseconds now = m_reactor.now();
     const fleet::Target *best = nullptr;
@@ -192,11 +238,11 @@
         }
     }
     if (best == nullptr)
-        return tl::unexpected(Refusal { RefusalReason::NoTarget, noTargetDelay });
+        return Refusal { RefusalReason::NoTarget, noTargetDelay };
     if (fleet::isCold(*best, now)
         && !limits::takeColdRequest(m_coldGate, best->entry.id, service.coldRequestsPerSecond,
                                     InstanceId(m_fleet->settings().host), m_peers->living(), now))
-        return tl::unexpected(Refusal { RefusalReason::AllFull, fullDelay });
+        return Refusal { RefusalReason::AllFull, fullDelay };
     Placement placed;
     placed.target = best->entry;
     return placed;
@@ -231,11 +277,16 @@
 {
     const bool isWriting = work.isWriting;
     const std::uint64_t id = work.id;
-    placement::addWork(m_ledger, std::move(work), m_reactor.now());
+    placement::addWork(m_ledger, std::move(work));
     if (isWriting)
         placement::noteWriting(m_ledger, id, m_reactor.now());
 }
 
+void PlacementService::noteRemoteWaiting(const placement::WaitingWork &waiting)
+{
+    placement::addWaiting(m_ledger, waiting);
+}
+
 void PlacementService::noteRemoteWriting(std::uint64_t id)
 {
     placement::noteWriting(m_ledger, id, m_reactor.now());
@@ -263,6 +314,22 @@
     return found == m_ledger.works.end() ? nullptr : &found->second;
 }
 
+const placement::WaitingWork *PlacementService::findWaiting(std::uint64_t id) const
+{
+    const auto found = m_ledger.waiting.find(id);
+    return found == m_ledger.waiting.end() ? nullptr : &found->second;
+}
+
+std::vector<const placement::WaitingWork *> PlacementService::ownWaiting() const
+{
+    std::vector<const placement::WaitingWork *> all;
+    for (const auto &[id, waiting] : m_ledger.waiting) {
+        if (waiting.owner == m_fleet->settings().host)
+            all.push_back(&waiting);
+    }
+    return all;
+}
+
 std::vector<const placement::Work *> PlacementService::ownWorks() const
 {
     std::vector<const placement::Work *> works;
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -3,10 +3,9 @@
 #include <random>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
-#include <tl/expected.hpp>
-
 #include <egretmount/core/names.h>
 #include <egretmount/fleet/configuration.h>
 #include <egretmount/fleet/target_table.h>
@@ -28,12 +27,20 @@
 struct Placement
 {
     fleet::TargetEntry target;
-    std::vector<std::string> helperAddresses; ///< Engines that read a part of the prompt.
+    std::vector<TargetId> helpers; ///< Engines that read a part of the prompt.
+    std::vector<std::string> helperAddresses; ///< In the same order.
     std::uint64_t work = 0; ///< Its entry in the ledger; zero for plain services.
     double expectedMs = 0; ///< Until the first event; zero for plain services.
     double partMs = 0; ///< Expected reading time of each part of the prompt.
 };
 
+/// @brief A request that waits for its turn.
+struct Waiting
+{
+    std::uint64_t work = 0; ///< Its entry in the ledger.
+    Milliseconds askAgainIn;
+};
+
 /// @brief Why a request gets no target.
 enum class RefusalReason {
     NoTarget, ///< No usable target of the service is known.
@@ -48,6 +55,9 @@
     Milliseconds retryAfter; ///< When a place is expected.
 };
 
+/// @brief What becomes of a request.
+using Decision = std::variant<Placement, Waiting, Refusal>;
+
 /// @brief Decides where requests go; keeps the ledger of all instances' placements.
 class PlacementService : public kernel::Service
 {
@@ -62,16 +72,15 @@
     /// @brief Places a request with a prompt and tells the other instances.
     /// @param excluded Targets that have failed this request.
     /// @param life How long the request may take.
-    /// @param refusesLate False: place it even if its first event will be too late, as it has run
-    ///        before and a refusal would no longer be true.
-    tl::expected<Placement, Refusal> placePrompt(const fleet::ServiceSpec &service,
-                                                 placement::Demand demand,
-                                                 const std::set<TargetId> &excluded,
-                                                 Milliseconds life, bool refusesLate);
+    /// @param work The entry under which it has waited; zero: it has not.
+    /// @param hasRun It was sent before: place it even if its first event will be too late, as a
+    ///        refusal would no longer be true.
+    Decision placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
+                         const std::set<TargetId> &excluded, Milliseconds life,
+                         std::uint64_t work, bool hasRun);
 
     /// @brief Places a request without a prompt.
-    tl::expected<Placement, Refusal> placePlain(const fleet::ServiceSpec &service,
-                                                const std::set<TargetId> &excluded);
+    Decision placePlain(const fleet::ServiceSpec &service, const std::set<TargetId> &excluded);
 
     /// @brief The first event of a work placed here has come.
     /// @param expectedMs What was expected at its placement. @param takenMs What it took.
@@ -87,6 +96,7 @@
     /// @name What other instances tell
     /// @{
     void noteRemoteWork(placement::Work work);
+    void noteRemoteWaiting(const placement::WaitingWork &waiting);
     void noteRemoteWriting(std::uint64_t id);
     void noteRemoteEnd(std::uint64_t id);
     void keepStated(const std::string &owner, const std::vector<std::uint64_t> &stated);
@@ -94,7 +104,9 @@
     /// @}
 
     const placement::Work *findWork(std::uint64_t id) const;
+    const placement::WaitingWork *findWaiting(std::uint64_t id) const;
     std::vector<const placement::Work *> ownWorks() const;
+    std::vector<const placement::WaitingWork *> ownWaiting() const;
 
 private:
     std::vector<const fleet::Target *> usableTargets(const ServiceId &service,
@@ -108,6 +120,11 @@
     PeerService *m_peers = nullptr;
     TargetPool *m_targets = nullptr;
     placement::Outlook outlook() const;
+    Milliseconds turnOf(const fleet::ServiceSpec &service, const placement::Demand &demand) const;
+    Waiting wait(const fleet::ServiceSpec &service, const placement::Demand &demand,
+                 Milliseconds life, std::uint64_t work);
+    Placement enter(const fleet::ServiceSpec &service, const placement::Demand &demand,
+                    const placement::Plan &plan, Milliseconds life, std::uint64_t work);
 
     placement::Ledger m_ledger;
     placement::DemandRate m_shortDemand; ///< Of this instance's callers.
--- a/include/egretmount/placement/ledger.h
+++ b/include/egretmount/placement/ledger.h
@@ -23,8 +23,10 @@
     TokenCount promptTokens = 0;
     double partMs = 0; ///< Reading time of one part at the published speed.
     double weight = 1; ///< How much a late answer costs, against other work.
+    Milliseconds latencyTarget; ///< From the request's arrival to its first event.
+    Milliseconds dueAt; ///< When its first event is late.
     Milliseconds pauseTarget; ///< Zero: none stated.
-    Milliseconds placedAt;
+    Milliseconds placedAt; ///< When it is sent to its engines.
     Milliseconds expiresAt; ///< Nobody waits for it any longer.
     bool isShort = false; ///< Its prompt hardly disturbs the streams of its engine.
     bool isWriting = false; ///< Its first event has come.
@@ -38,10 +40,21 @@
     double pace = 1; ///< Measured reading time over the published one.
 };
 
+/// @brief A long prompt that waits for engines to be free.
+struct WaitingWork
+{
+    std::uint64_t id = 0; ///< The id of the work that it becomes.
+    std::string owner;
+    double readingMs = 0; ///< Of the whole prompt, at one engine.
+    Milliseconds turn; ///< The one with the earliest turn goes first.
+    Milliseconds expiresAt;
+};
+
 /// @brief All placements that this instance has made or heard of.
 struct Ledger
 {
     std::unordered_map<std::uint64_t, Work> works;
+    std::unordered_map<std::uint64_t, WaitingWork> waiting;
     std::unordered_map<EngineKey, EngineState> engines;
 };
 
@@ -55,9 +68,29 @@
 ///        reading is also one of writing.
 constexpr double writingSlowdown = 1.12;
 
-/// @brief Enters a placement. A work with that id that is known already is left as it is.
+/// @brief Part of a prompt's reading time by which its turn comes later than its arrival.
+///
+/// Lets middle prompts pass very long ones, which take many engines for seconds, without letting
+/// the latter wait for ever.
+constexpr double turnDelay = 0.25;
+
+/// @brief When a prompt that arrived at a time has its turn.
+Milliseconds turnOf(Milliseconds arrivedAt, double readingMs);
+
+/// @brief Enters a waiting work, or corrects its turn.
+void addWaiting(Ledger &ledger, const WaitingWork &waiting);
+
+/// @brief True if no other waiting work has an earlier turn.
+/// @complexity Linear in the waiting works.
+bool isFirstInLine(const Ledger &ledger, std::uint64_t id, Milliseconds turn);
+
+/// @brief Reading time of the waiting works whose turn is before a time, milliseconds.
+double readingAhead(const Ledger &ledger, Milliseconds turn);
+
+/// @brief Enters a placement; it does not wait any longer. A work with that id that is known
+///        already is left as it is.
 /// @complexity Linear in the work's engines.
-void addWork(Ledger &ledger, Work work, Milliseconds now);
+void addWork(Ledger &ledger, Work work);
 
 /// @brief Takes in that the first event of a work has come: all its parts are read.
 void noteWriting(Ledger &ledger, std::uint64_t id, Milliseconds now);
@@ -65,7 +98,7 @@
 /// @brief Takes in how long a work without helpers took against what was expected.
 void notePace(Ledger &ledger, std::uint64_t id, double expectedMs, double takenMs);
 
-/// @brief Takes out a work that has ended, whatever its end.
+/// @brief Takes out a work that has ended, whatever its end, or one that waits no longer.
 void removeWork(Ledger &ledger, std::uint64_t id, Milliseconds now);
 
 /// @brief Takes out the works of an instance whose run has ended.
--- a/include/egretmount/placement/planner.h
+++ b/include/egretmount/placement/planner.h
@@ -14,9 +14,11 @@
     TokenCount promptTokens = 0;
     TokenCount answerTokens = 0; ///< At most.
     double weight = 1;
-    Milliseconds latencyTarget; ///< To the first event.
+    Milliseconds latencyTarget; ///< From the arrival to the first event.
+    Milliseconds waited; ///< Since the arrival.
     Milliseconds pauseTarget; ///< Between two events; zero: none stated.
     Milliseconds patience; ///< Without a first event by then, the caller has left.
+    bool mayWait = true; ///< It may be planned for a time when engines are free.
 };
 
 /// @brief An engine that may be used now.
@@ -33,7 +35,8 @@
 {
     std::vector<EngineKey> engines; ///< The first one receives the request.
     double partMs = 0; ///< Reading time of each part at the published speed.
-    double firstEventMs = 0; ///< Expected time to the first event.
+    double startMs = 0; ///< Above zero: it is better to wait so long for engines to be free.
+    double firstEventMs = 0; ///< Expected time from now to the first event.
     double cost = 0;
 };
 
@@ -65,7 +68,9 @@
 /// @brief Chooses the engines for a request.
 ///
 /// Weighs the request's expected lateness against the pauses that its reading causes to streams
-/// that are being written. The first engines in the order of their keys form the short lane, where
+/// that are being written and the delay of parts that are being read: an engine reads the part that
+/// came last first, so a long prompt waits until enough engines are free, and a smaller one may go
+/// ahead of one that is being read. The first engines in the order of their keys form the short lane, where
 /// nothing long is read: all instances agree on it without a message. Pure: the same arguments give
 /// the same plan.
 /// @return Nothing if no candidate has a place and memory for it.
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -44,8 +44,37 @@
 
 } // namespace
 
-void addWork(Ledger &ledger, Work work, Milliseconds)
+Milliseconds turnOf(Milliseconds arrivedAt, double readingMs)
 {
+    return arrivedAt + rounded(readingMs * turnDelay);
+}
+
+void addWaiting(Ledger &ledger, const WaitingWork &waiting)
+{
+    if (ledger.works.count(waiting.id) == 0)
+        ledger.waiting[waiting.id] = waiting;
+}
+
+bool isFirstInLine(const Ledger &ledger, std::uint64_t id, Milliseconds turn)
+{
+    return std::none_of(ledger.waiting.begin(), ledger.waiting.end(), [&](const auto &entry) {
+        const WaitingWork &other = entry.second;
+        return other.id != id
+            && (other.turn < turn || (other.turn == turn && other.id < id));
+    });
+}
+
+double readingAhead(const Ledger &ledger, Milliseconds turn)
+{
+    double sum = 0;
+    for (const auto &[id, waiting] : ledger.waiting)
+        sum += waiting.turn < turn ? waiting.readingMs : 0;
+    return sum;
+}
+
+void addWork(Ledger &ledger, Work work)
+{
+    ledger.waiting.erase(work.id);
     if (ledger.works.count(work.id) > 0)
         return;
     for (const EngineKey key : work.engines)
@@ -79,6 +108,7 @@
 
 void removeWork(Ledger &ledger, std::uint64_t id, Milliseconds now)
 {
+    ledger.waiting.erase(id);
     const auto found = ledger.works.find(id);
     if (found == ledger.works.end())
         return;
@@ -104,6 +134,10 @@
                 Milliseconds now)
 {
     std::vector<std::uint64_t> gone;
+    for (const auto &[id, waiting] : ledger.waiting) {
+        if (waiting.owner == owner && !std::binary_search(stated.begin(), stated.end(), id))
+            gone.push_back(id);
+    }
     for (const auto &[id, work] : ledger.works) {
         if (work.owner == owner && !std::binary_search(stated.begin(), stated.end(), id))
             gone.push_back(id);
@@ -115,6 +149,10 @@
 void removeExpired(Ledger &ledger, Milliseconds now)
 {
     std::vector<std::uint64_t> gone;
+    for (const auto &[id, waiting] : ledger.waiting) {
+        if (waiting.expiresAt <= now)
+            gone.push_back(id);
+    }
     for (const auto &[id, work] : ledger.works) {
         if (work.expiresAt <= now)
             gone.push_back(id);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -6,6 +6,8 @@
 
 #include <egretmount/placement/engine_cost.h>
 
+#include "engine_load.h"
+
 namespace egretmount::placement {
 
 namespace {
@@ -35,7 +37,7 @@
 constexpr double longShare = 0.1;
 // Cost of placing a short request outside its lane, as a share of its weight.
 constexpr double outOfLaneLoss = 0.1;
-// Requests that write at one engine before short ones are sent elsewhere, as a share of its slots.
+// Requests that write at one engine before others are preferred, as a share of its slots.
 constexpr double slotFill = 0.8;
 // Fixed time of a request on the way to an engine and back, milliseconds.
 constexpr double transitMs = 8;
@@ -47,191 +49,206 @@
     return std::clamp((value - from) / (to - from), 0.0, 1.0);
 }
 
-struct Load
+// One way to serve a request: so many parts, from a certain time on.
+struct Attempt
 {
-    const Candidate *candidate = nullptr;
-    const EngineState *state = nullptr;
-    double backlog = 0;
-    double pace = 1;
-    double passMs = 0; // with the present writers and the new one
-    int received = 0; // requests that write or will write there
-    int helped = 0;
-    int shortWriters = 0; // with a pause target as tight as the demand's, or tighter
-    TokenCount memory = 0;
-    bool isInLane = false;
-    std::vector<std::pair<double, double>> pauses; // pause target and weight of each stream
+    double partMs = 0;
+    double perPass = 0; // of the part, milliseconds
+    double startMs = 0;
+    int parts = 1;
+    bool isLongPrompt = false;
 };
 
 struct Option
 {
-    const Load *load = nullptr;
-    double finish = 0; // milliseconds until the part is read
-    double cost = 0;
+    const EngineLoad *load = nullptr;
+    double finish = 0; // milliseconds from now until the part is read
+    double harm = 0; // weight lost by others, and doubts about the engine
+    double cost = 0; // harm and own lateness if this engine were the slowest
 };
 
-Load loadOf(const Ledger &ledger, const fleet::EngineSpeed &speed, const Candidate &candidate,
-            const Demand &demand, Milliseconds now)
+double backlogAt(const EngineLoad &load, double startMs)
 {
-    Load load;
-    load.candidate = &candidate;
-    load.backlog = readingBacklog(ledger, candidate.key, now);
-    TokenCount context = demand.promptTokens;
-    const auto found = ledger.engines.find(candidate.key);
-    if (found != ledger.engines.end()) {
-        load.state = &found->second;
-        load.pace = found->second.pace;
-        for (const std::uint64_t id : found->second.works) {
-            const Work &work = ledger.works.at(id);
-            if (work.engines.front() != candidate.key) {
-                load.helped += work.isWriting ? 0 : 1;
-                continue;
-            }
-            ++load.received;
-            load.memory += work.promptTokens + speed.usualAnswer;
-            if (work.isWriting)
-                context += work.promptTokens;
-            if (work.pauseTarget <= demand.pauseTarget)
-                ++load.shortWriters;
-            if (work.pauseTarget > Milliseconds())
-                load.pauses.emplace_back(work.pauseTarget.count(), work.weight);
-        }
-    }
-    load.passMs = writingPassTime(speed, load.received + 1, context) * std::min(load.pace, 4.0);
-    return load;
+    return std::max(0.0, load.backlog - startMs);
 }
 
-// Weight lost by streams at the engine whose pauses grow too long if `extra` is read as well.
-double pauseHarm(const Load &load, double extra, double perPass)
+// Weight lost by streams at the engine whose pauses grow too long if the part is read as well.
+double pauseHarm(const EngineLoad &load, const Attempt &attempt)
 {
-    const double before = load.passMs + load.backlog;
-    const double after = load.passMs + std::min(load.backlog + extra, std::max(load.backlog, perPass));
+    const double backlog = backlogAt(load, attempt.startMs);
+    const double before = load.passMs + backlog;
+    const double after = load.passMs
+        + std::min(backlog + attempt.partMs * load.pace, std::max(backlog, attempt.perPass));
     double harm = 0;
-    for (const auto &[target, weight] : load.pauses) {
-        harm += weight * lateLoss
-            * (ramp(after, pauseFrom * target, pauseFully * target)
-               - ramp(before, pauseFrom * target, pauseFully * target));
+    for (const LoadedStream &stream : load.streams) {
+        const double from = pauseFrom * stream.pauseTarget;
+        const double fully = pauseFully * stream.pauseTarget;
+        harm += stream.weight * lateLoss
+            * (ramp(after, from, fully) - ramp(before, from, fully));
     }
     return std::max(harm, 0.0);
 }
 
-bool mayRead(const Load &load, bool isLongPrompt, double partMs)
+// Weight lost by requests whose parts are read later because this part goes ahead of them.
+double delayHarm(const EngineLoad &load, const Attempt &attempt)
 {
-    return !isLongPrompt || !load.isInLane || load.backlog + partMs <= laneReadingMs;
+    if (backlogAt(load, attempt.startMs) <= 0)
+        return 0;
+    double harm = 0;
+    for (const PendingPart &part : load.pending) {
+        const double from = part.dueIn - (1 - lateFrom) * part.latencyTarget;
+        const double fully = part.dueIn + (lateFully - 1) * part.latencyTarget;
+        const double finish = load.backlog + load.passMs;
+        const double delay = attempt.partMs * load.pace;
+        harm += part.weight
+            * (lateLoss * (ramp(finish + delay, from, fully) - ramp(finish, from, fully))
+               + slownessLoss * delay / std::max(part.latencyTarget, 1.0));
+    }
+    return harm;
 }
 
 double latenessCost(const Demand &demand, double firstEventMs)
 {
     const double target = static_cast<double>(demand.latencyTarget.count());
     const double patience = static_cast<double>(demand.patience.count());
+    const double time = firstEventMs + static_cast<double>(demand.waited.count());
     return demand.weight
-        * (lateLoss * ramp(firstEventMs, lateFrom * target, lateFully * target)
+        * (lateLoss * ramp(time, lateFrom * target, lateFully * target)
            + (1 - lateLoss) * ramp(firstEventMs, 0.6 * patience, patience)
-           + slownessLoss * firstEventMs / std::max(target, 1.0));
+           + slownessLoss * time / std::max(target, 1.0));
 }
 
 // Cost beyond the part's own reading of receiving the request at an engine.
-double receivingCost(const Load &load, const fleet::EngineSpeed &speed, const Demand &demand,
-                     double partMs)
+double receivingCost(const EngineLoad &load, const fleet::EngineSpeed &speed, const Demand &demand,
+                     const Attempt &attempt)
 {
     const double fill = static_cast<double>(load.received) / (slotFill * speed.slots);
     double cost = demand.weight * lateLoss * ramp(fill, 1.0, 1.0 / slotFill);
     if (load.shortWriters == 0)
         cost += spreadLoss;
-    // The pauses that the reading under way will cause to this very stream.
+    // The pauses that reading under way will cause to this very stream.
     const double target = static_cast<double>(demand.pauseTarget.count());
     if (target > 0) {
-        const double rest = load.passMs + std::max(0.0, load.backlog - partMs);
-        cost += demand.weight * lateLoss * 0.3
-            * ramp(rest, pauseFrom * target, pauseFully * 2 * target);
+        const double rest = load.passMs + backlogAt(load, attempt.startMs);
+        cost += demand.weight * lateLoss * ramp(rest, pauseFrom * target, pauseFully * target);
     }
     return cost;
 }
 
-bool canReceive(const Load &load, const fleet::EngineSpeed &speed, const Demand &demand)
+bool canReceive(const EngineLoad &load, const fleet::EngineSpeed &speed, const Demand &demand)
 {
-    const TokenCount need = demand.promptTokens + demand.answerTokens;
+    const TokenCount answer = std::min(demand.answerTokens, speed.usualAnswer);
     return load.candidate->mayReceive && load.received + load.helped < 2 * speed.slots
-        && load.memory + std::min(need, demand.promptTokens + speed.usualAnswer)
-            <= speed.memoryTokens;
+        && load.memory + demand.promptTokens + answer <= speed.memoryTokens;
 }
 
-// Marks the short lane: the first usable engines in the order of their keys.
-void markLane(std::vector<Load> &loads, int size)
+bool canRead(const EngineLoad &load, const fleet::EngineSpeed &speed, const Attempt &attempt)
 {
-    std::vector<Load *> inOrder;
-    for (Load &load : loads) {
-        if (load.candidate->mayReceive && load.candidate->mayHelp)
-            inOrder.push_back(&load);
-    }
-    std::sort(inOrder.begin(), inOrder.end(), [](const Load *a, const Load *b) {
-        return a->candidate->key < b->candidate->key;
-    });
-    for (std::size_t i = 0; i < inOrder.size() && static_cast<int>(i) < size; ++i)
-        inOrder[i]->isInLane = true;
+    if (!load.candidate->mayHelp && !load.candidate->mayReceive)
+        return false;
+    if (load.helped >= speed.slots)
+        return false;
+    return !attempt.isLongPrompt || !load.isInLane
+        || load.backlog + attempt.partMs <= laneReadingMs;
 }
 
-std::optional<Plan> planParts(const std::vector<Load> &loads, const fleet::EngineSpeed &speed,
-                              const Demand &demand, int parts)
+std::vector<Option> optionsOf(const std::vector<EngineLoad> &loads,
+                              const fleet::EngineSpeed &speed, const Demand &demand,
+                              const Attempt &attempt)
 {
-    const bool isLongPrompt = !isShort(speed, demand.promptTokens);
-    const double partMs = partReadingTime(speed, demand.promptTokens, parts);
-    const TokenCount partTokens = demand.promptTokens / parts;
-    const double perPass = readingPerPass(speed, partMs, partTokens);
     std::vector<Option> options;
-    for (const Load &load : loads) {
-        const bool isUsable = load.candidate->mayHelp || load.candidate->mayReceive;
-        if (!isUsable || !mayRead(load, isLongPrompt, partMs))
+    for (const EngineLoad &load : loads) {
+        if (!canRead(load, speed, attempt))
             continue;
         Option option;
         option.load = &load;
-        const double wait = load.received > 0 ? load.passMs / 2 : 0;
-        option.finish = load.backlog + partMs * load.pace + wait;
-        option.cost = pauseHarm(load, partMs * load.pace, perPass) + load.candidate->penalty
-            + latenessCost(demand, option.finish);
-        if (!isLongPrompt && !load.isInLane)
-            option.cost += demand.weight * outOfLaneLoss;
+        const double passWait = load.received > 0 ? load.passMs / 2 : 0;
+        // Parts go ahead of what an engine reads; a whole short prompt waits its turn.
+        const bool waitsItsTurn = attempt.parts == 1 && !attempt.isLongPrompt;
+        const double start = waitsItsTurn ? load.backlog : attempt.startMs;
+        option.finish = start + attempt.partMs * load.pace + passWait;
+        option.harm = load.candidate->penalty + pauseHarm(load, attempt);
+        if (!waitsItsTurn)
+            option.harm += delayHarm(load, attempt);
+        if (!attempt.isLongPrompt && !load.isInLane)
+            option.harm += demand.weight * outOfLaneLoss;
+        option.cost = option.harm + latenessCost(demand, option.finish);
         options.push_back(option);
     }
-    if (options.size() < static_cast<std::size_t>(parts))
-        return std::nullopt;
+    return options;
+}
+
+// The option at which receiving the request costs least. Null if none can receive it.
+const Option *cheapestFirst(const std::vector<Option> &options, const fleet::EngineSpeed &speed,
+                            const Demand &demand, const Attempt &attempt)
+{
     const Option *first = nullptr;
-    double firstCost = 0;
+    double least = 0;
     for (const Option &option : options) {
         if (!canReceive(*option.load, speed, demand))
             continue;
-        const double cost = option.cost + receivingCost(*option.load, speed, demand, partMs);
-        if (first == nullptr || cost < firstCost) {
+        const double cost = option.cost + receivingCost(*option.load, speed, demand, attempt);
+        if (first == nullptr || cost < least) {
             first = &option;
-            firstCost = cost;
+            least = cost;
         }
     }
-    if (first == nullptr)
+    return first;
+}
+
+std::optional<Plan> planAttempt(const std::vector<EngineLoad> &loads,
+                                const fleet::EngineSpeed &speed, const Demand &demand,
+                                const Attempt &attempt)
+{
+    std::vector<Option> options = optionsOf(loads, speed, demand, attempt);
+    const std::size_t parts = static_cast<std::size_t>(attempt.parts);
+    const Option *found = options.size() < parts
+        ? nullptr
+        : cheapestFirst(options, speed, demand, attempt);
+    if (found == nullptr)
         return std::nullopt;
-    const Load *firstLoad = first->load;
+    const Option first = *found;
     Plan plan;
-    plan.partMs = partMs;
-    plan.engines.push_back(firstLoad->candidate->key);
-    double finish = first->finish;
-    double harm = firstCost - latenessCost(demand, first->finish);
+    plan.partMs = attempt.partMs;
+    plan.startMs = attempt.startMs;
+    plan.engines.push_back(first.load->candidate->key);
+    double finish = first.finish;
+    double harm = first.harm + receivingCost(*first.load, speed, demand, attempt);
     std::sort(options.begin(), options.end(),
               [](const Option &a, const Option &b) { return a.cost < b.cost; });
     for (const Option &option : options) {
-        if (plan.engines.size() == static_cast<std::size_t>(parts))
+        if (plan.engines.size() == parts)
             break;
-        if (option.load == firstLoad || !option.load->candidate->mayHelp
-            || option.load->helped >= speed.slots)
+        if (option.load == first.load || !option.load->candidate->mayHelp)
             continue;
         plan.engines.push_back(option.load->candidate->key);
         finish = std::max(finish, option.finish);
-        harm += option.cost - latenessCost(demand, option.finish);
+        harm += option.harm;
     }
-    if (plan.engines.size() < static_cast<std::size_t>(parts))
+    if (plan.engines.size() < parts)
         return std::nullopt;
-    plan.firstEventMs = finish + firstLoad->passMs + transitMs;
-    plan.cost = harm + latenessCost(demand, plan.firstEventMs) + demand.weight * partLoss * parts;
+    plan.firstEventMs = finish + first.load->passMs + transitMs;
+    plan.cost = harm + latenessCost(demand, plan.firstEventMs)
+        + demand.weight * partLoss * attempt.parts;
     return plan;
 }
 
+// When so many engines that may read the part are expected to be free.
+std::optional<double> timeOfFreeEngines(const std::vector<EngineLoad> &loads,
+                                        const fleet::EngineSpeed &speed, const Attempt &attempt)
+{
+    std::vector<double> backlogs;
+    for (const EngineLoad &load : loads) {
+        if (canRead(load, speed, attempt))
+            backlogs.push_back(load.backlog);
+    }
+    if (backlogs.size() < static_cast<std::size_t>(attempt.parts))
+        return std::nullopt;
+    const auto position = backlogs.begin() + (attempt.parts - 1);
+    std::nth_element(backlogs.begin(), position, backlogs.end());
+    return *position;
+}
+
 } // namespace
 
 double weightOf(const fleet::EngineSpeed &speed, TokenCount promptTokens)
@@ -257,18 +274,33 @@
                                   const std::vector<Candidate> &candidates, const Demand &demand,
                                   const Outlook &outlook, Milliseconds now)
 {
-    std::vector<Load> loads;
+    std::vector<EngineLoad> loads;
     loads.reserve(candidates.size());
     for (const Candidate &candidate : candidates)
         loads.push_back(loadOf(ledger, speed, candidate, demand, now));
     markLane(loads, shortLaneSize(speed, outlook, static_cast<int>(loads.size())));
+    Attempt attempt;
+    attempt.isLongPrompt = !isShort(speed, demand.promptTokens);
     std::optional<Plan> best;
+    const auto consider = [&] {
+        const std::optional<Plan> plan = planAttempt(loads, speed, demand, attempt);
+        if (plan && (!best || plan->cost < best->cost))
+            best = plan;
+    };
     for (const int parts : partChoices) {
         if (parts > 1 && demand.promptTokens / parts < speed.chunkTokens)
             break;
-        const std::optional<Plan> plan = planParts(loads, speed, demand, parts);
-        if (plan && (!best || plan->cost < best->cost))
-            best = plan;
+        attempt.parts = parts;
+        attempt.partMs = partReadingTime(speed, demand.promptTokens, parts);
+        attempt.perPass = readingPerPass(speed, attempt.partMs, demand.promptTokens / parts);
+        attempt.startMs = 0;
+        consider();
+        const std::optional<double> free
+            = attempt.isLongPrompt && demand.mayWait ? timeOfFreeEngines(loads, speed, attempt) : std::nullopt;
+        if (free && *free > 0) {
+            attempt.startMs = *free;
+            consider();
+        }
     }
     return best;
 }
