Know the others within moments of a start; wait instead of refusing

Cause: after all instances had restarted, each placed for 0.35 s as if it were alone, and all chose the same engines. After an outage of the store the leases of living engines had lapsed and the watch hung until its time-out, so few engines were left. A watch counted as stuck when a peer merely heard of a change some milliseconds earlier. A long prompt that found no memory was refused although writers would end within a second.

Change: a starting instance introduces itself every 60 ms and is told at once who lives and what is placed; long prompts wait until that is known. Calls that do not wait probe a failing store; lapsed targets stay for 2.3 s from its return. Ties between engines break differently on each instance. A long prompt that finds no place waits for up to its latency target.

--- a/apps/node/fleet_service.cpp
+++ b/apps/node/fleet_service.cpp
@@ -79,6 +79,11 @@
               << " evacuated_zones=" << m_table.evacuated.size();
 }
 
+void FleetService::noteOutageEnd()
+{
+    fleet::noteOutageEnd(m_table, m_reactor.now());
+}
+
 void FleetService::applyConfiguration(fleet::Configuration configuration)
 {
     if (m_configuration && configuration.version <= m_configuration->version) {
--- a/apps/node/fleet_service.h
+++ b/apps/node/fleet_service.h
@@ -45,6 +45,9 @@
     /// @brief Takes in a whole listing of the platform's store.
     void applyListing(const std::vector<platform::RegistryChange> &changes);
 
+    /// @brief Takes in that the store answers again after it has failed.
+    void noteOutageEnd();
+
     /// @brief Registers who hears that a target has a new run or is gone.
     void onTargetEnded(std::function<void(const TargetId &)> listener)
     {
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -26,6 +26,12 @@
 constexpr Milliseconds progressDelay = Milliseconds(20);
 // All own work is stated this often; makes good what datagrams lost.
 constexpr Milliseconds statementInterval = Milliseconds(1'000);
+// A starting instance makes itself known this often, so many times: the others may start as well.
+constexpr Milliseconds introductionInterval = Milliseconds(60);
+constexpr int introductions = 10;
+// After the first word of another instance, the rest are heard of within a few messages.
+constexpr Milliseconds settlingTime = Milliseconds(60);
+constexpr Milliseconds longestSettling = Milliseconds(500); // nobody else may live
 constexpr std::size_t maxDatagram = 32 * 1024;
 constexpr int receivesPerTurn = 64;
 // How long other instances keep off a target that does not answer here.
@@ -184,8 +190,9 @@
     m_socket = std::make_shared<Socket>(
         *this, settings.host + ':' + std::to_string(settings.firstPeerPort));
     m_reactor.watch(m_socket->socket(), Poco::Net::PollSet::POLL_READ, m_socket);
+    m_startedAt = m_reactor.now();
     refreshLiving();
-    sendDigest();
+    introduce();
     m_reactor.every(membership::digestInterval, [this] { sendDigest(); });
     m_reactor.every(statementInterval, [this] { sendStatement(); });
 }
@@ -236,6 +243,20 @@
     scheduleFlush(placedDelay);
 }
 
+void PeerService::introduce()
+{
+    sendDigest();
+    if (++m_introductions < introductions)
+        m_reactor.after(introductionInterval, [this] { introduce(); });
+}
+
+bool PeerService::isSettled() const
+{
+    const Milliseconds now = m_reactor.now();
+    return now - m_startedAt >= longestSettling
+        || (m_living.size() > 1 && now - m_firstHeardAt >= settlingTime);
+}
+
 std::vector<std::string> PeerService::servingHosts() const
 {
     return membership::servingHosts(m_roster, m_reactor.now());
@@ -289,6 +310,11 @@
 }
 
 void PeerService::sendStatement()
+{
+    sendToAll(statement());
+}
+
+std::string PeerService::statement()
 {
     const std::vector<const placement::Work *> works = m_placement->ownWorks();
     capnp::MallocMessageBuilder message;
@@ -298,7 +324,7 @@
     news.setRegistryRevision(m_sync->revision());
     news.setIsStatement(true);
     writeWorks(news, works, m_placement->ownWaiting(), m_reactor.now());
-    sendToAll(serialized(message));
+    return serialized(message);
 }
 
 void PeerService::sendDigest()
@@ -306,6 +332,12 @@
     const Milliseconds now = m_reactor.now();
     membership::forgetDead(m_roster, now);
     refreshLiving();
+    sendDigestTo(membership::digestReceivers(m_roster, now, m_random()));
+}
+
+void PeerService::sendDigestTo(const std::vector<std::string> &hosts)
+{
+    const Milliseconds now = m_reactor.now();
     const std::vector<membership::RosterEntry> digest = membership::makeDigest(m_roster, now);
     capnp::MallocMessageBuilder message;
     wire::News::Builder news = message.initRoot<wire::News>();
@@ -320,7 +352,7 @@
         roster[i].setIsLeaving(digest[i].isLeaving);
     }
     const std::string datagram = serialized(message);
-    for (const std::string &host : membership::digestReceivers(m_roster, now, m_random()))
+    for (const std::string &host : hosts)
         send(host, datagram);
 }
 
@@ -357,8 +389,19 @@
         for (const wire::RosterEntry::Reader entry : news.getRoster())
             digest.push_back({ entry.getHost(), entry.getIncarnation(), entry.getBeat(),
                                entry.getIsLeaving() });
-        for (const std::string &changed : membership::noteDigest(m_roster, digest, now))
-            m_placement->forgetOwner(changed);
+        const std::vector<std::string> changed = membership::noteDigest(m_roster, digest, now);
+        for (const std::string &newRun : changed)
+            m_placement->forgetOwner(newRun);
+        if (!changed.empty()) {
+            if (m_living.size() <= 1)
+                m_firstHeardAt = now;
+            refreshLiving();
+            // A new run knows nothing yet: tell it at once who lives and what is placed where.
+            sendDigestTo(changed);
+            const std::string own = statement();
+            for (const std::string &newRun : changed)
+                send(newRun, own);
+        }
         std::vector<std::uint64_t> stated;
         for (const wire::PlacedWork::Reader placed : news.getPlaced()) {
             stated.push_back(placed.getId());
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -58,6 +58,11 @@
     /// @brief Hosts that callers may be sent to, this instance included unless it leaves.
     std::vector<std::string> servingHosts() const;
 
+    /// @brief True once others have been heard of, or have had the time to be.
+    ///
+    /// Until then what they have placed is unknown.
+    bool isSettled() const;
+
     /// @brief Names of the living instances, this one included.
     const std::vector<InstanceId> &living() const { return m_living; }
     std::size_t livingCount() const { return m_living.size(); }
@@ -67,7 +72,10 @@
 
     void receive(const std::string &sender, const char *data, std::size_t size);
     void sendDigest();
+    void sendDigestTo(const std::vector<std::string> &hosts);
+    void introduce();
     void sendStatement();
+    std::string statement();
     void flush();
     void scheduleFlush(Milliseconds delay);
     void sendToAll(const std::string &datagram);
@@ -88,6 +96,9 @@
     std::vector<std::uint64_t> m_ended;
     std::vector<placement::EngineKey> m_distrusted;
     Milliseconds m_flushAt;
+    Milliseconds m_startedAt;
+    Milliseconds m_firstHeardAt;
+    int m_introductions = 0;
     net::TimerId m_flushTimer = 0;
     std::mt19937_64 m_random;
 };
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -5,6 +5,7 @@
 
 #include <glog/logging.h>
 
+#include <egretmount/core/hash.h>
 #include <egretmount/placement/engine_cost.h>
 
 #include "fleet_service.h"
@@ -24,6 +25,8 @@
 // it the rest would be crowded, and the fault may be this instance's own.
 constexpr double trustedShare = 0.7;
 constexpr double otherZonePenalty = 0.001; // breaks ties; a hop costs a millisecond or two
+// Breaks ties differently on each instance: two that place at the same moment should not meet.
+constexpr double ownOrderPenalty = 0.002;
 // A request is refused if its answer is expected later than this share of the caller's patience:
 // the estimate is off by a fifth or so.
 constexpr double patienceShare = 0.9;
@@ -93,6 +96,8 @@
         candidate.penalty += unlistedPenalty;
     if (target.entry.zone != m_fleet->settings().zone)
         candidate.penalty += otherZonePenalty;
+    const std::uint64_t own = stableHash(m_fleet->settings().host, candidate.key);
+    candidate.penalty += ownOrderPenalty * static_cast<double>(own % 1'000) / 1'000;
     if (fleet::isCold(target, m_reactor.now())) {
         candidate.penalty += coldPenalty;
         candidate.mayHelp = false;
@@ -128,8 +133,9 @@
     if (!hasRun && isShort)
         placement::noteArrival(m_shortDemand, now);
     demand.mayWait = !hasRun;
-    if (!isShort && !hasRun
-        && !placement::isFirstInLine(m_ledger, work, turnOf(service, demand)))
+    const bool hasTurn = m_peers->isSettled()
+        && placement::isFirstInLine(m_ledger, work, turnOf(service, demand));
+    if (!isShort && !hasRun && !hasTurn)
         return wait(service, demand, life, work);
     std::set<TargetId> unavailable = excluded;
     while (true) {
@@ -142,8 +148,17 @@
             candidates.push_back(candidateOf(*target, service, demand.weight));
         const std::optional<placement::Plan> plan = placement::planPlacement(
             m_ledger, *service.engine, candidates, demand, outlook(), now);
-        if (!plan)
+        if (!plan) {
+            LOG(INFO) << "placement: no place service=" << service.id.value
+                      << " tokens=" << demand.promptTokens << " usable=" << targets.size()
+                      << " short_expected=" << outlook().shortRequests
+                      << " in_hand=" << m_ledger.works.size()
+                      << " waiting=" << m_ledger.waiting.size();
+            const bool mayWait = !hasRun && !isShort && demand.waited < demand.latencyTarget;
+            if (mayWait && demand.promptTokens < service.engine->memoryTokens)
+                return wait(service, demand, life, work);
             return Refusal { RefusalReason::AllFull, fullDelay };
+        }
         const double latest = patienceShare * static_cast<double>(demand.patience.count());
         if (!hasRun && plan->firstEventMs > latest) {
             const double after = plan->firstEventMs
--- a/apps/node/registry_sync.cpp
+++ b/apps/node/registry_sync.cpp
@@ -46,10 +46,18 @@
 
 void RegistrySync::noteLaterRevision(platform::Revision revision)
 {
-    const bool isStuck = m_isWatching && !m_needsListing && revision > m_revision
-        && m_reactor.now() - m_watchStarted > stuckAfter;
+    const Milliseconds now = m_reactor.now();
+    if (revision <= m_revision || m_needsListing) {
+        m_behindSince = Milliseconds();
+        return;
+    }
+    if (m_behindSince == Milliseconds())
+        m_behindSince = now;
+    const bool isStuck = m_isWatching && m_failures == 0
+        && now - std::max(m_behindSince, m_watchStarted) > stuckAfter;
     if (!isStuck)
         return;
+    m_behindSince = Milliseconds();
     LOG(WARNING) << "registry: watch is stuck revision=" << m_revision << " seen=" << revision;
     m_client.drop();
 }
@@ -94,7 +102,9 @@
 {
     m_isWatching = true;
     m_watchStarted = m_reactor.now();
-    m_client.watch(m_revision, watchTime,
+    // While the store fails, a call that does not wait finds out soonest that it is back.
+    const Milliseconds wait = m_failures > 0 ? Milliseconds() : watchTime;
+    m_client.watch(m_revision, wait,
                    [this](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
                        onChanges(std::move(page));
                    });
@@ -152,6 +162,7 @@
     if (m_failures > 0) {
         const Milliseconds away = m_reactor.now() - m_lastAnswer;
         LOG(INFO) << "registry: regained failures=" << m_failures << " away_ms=" << away.count();
+        m_fleet->noteOutageEnd();
     }
     m_failures = 0;
     m_lastAnswer = m_reactor.now();
--- a/apps/node/registry_sync.h
+++ b/apps/node/registry_sync.h
@@ -47,6 +47,7 @@
     platform::Revision m_revision = 0;
     Milliseconds m_watchStarted;
     Milliseconds m_lastAnswer;
+    Milliseconds m_behindSince; ///< Zero: no later state is known of.
     int m_failures = 0;
     bool m_isWatching = false;
     bool m_needsListing = true;
--- a/include/egretmount/fleet/target_table.h
+++ b/include/egretmount/fleet/target_table.h
@@ -29,8 +29,8 @@
 {
     TargetEntry entry;
     Milliseconds coldUntil;
-    Milliseconds removedAt; ///< When its entry went without notice.
-    bool isUnlisted = false; ///< Its entry is gone; usable for `unlistedGrace` at most.
+    Milliseconds dropAt; ///< When it is given up if its entry does not come back.
+    bool isUnlisted = false; ///< Its entry is gone without notice.
 };
 
 /// @brief The targets of all services and the availability zones that are being evacuated.
@@ -38,20 +38,25 @@
 {
     std::map<TargetId, Target> targets;
     std::set<ZoneId> evacuated;
+    Milliseconds outageEndedAt; ///< When the registry last came back.
+    bool hadOutage = false;
 };
 
 /// @brief How long a target stays usable whose entry went without its having said that it leaves.
 ///
-/// Leases lapse while the registry is away, and a living target registers again within about 2 s.
-/// One that leaves unannounced goes on serving for 2 s as well; the difference covers the time
-/// until the removal is heard of.
+/// One that leaves unannounced goes on serving for 2 s; the difference covers the time until the
+/// removal is heard of.
 constexpr Milliseconds unlistedGrace = Milliseconds(1'400);
 
+/// @brief The same after an outage of the registry, counted from its end: leases of living targets
+///        lapse meanwhile, and they register again within about 2 s.
+constexpr Milliseconds lapsedGrace = Milliseconds(2'300);
+
 /// @brief Takes in an entry. @return True if this is a new run of the target.
 bool noteEntry(TargetTable &table, const TargetEntry &entry, Milliseconds now);
 
 /// @brief Takes in the removal of an entry.
-/// @return True if the target is gone for good, false if it is kept for `unlistedGrace`.
+/// @return True if the target is gone for good, false if it is kept for a grace.
 bool noteRemoval(TargetTable &table, const TargetId &id, Milliseconds now);
 
 /// @brief Replaces all entries by a full listing of the registry.
@@ -59,6 +64,9 @@
 std::vector<TargetId> noteListing(TargetTable &table, const std::vector<TargetEntry> &entries,
                                   Milliseconds now);
 
+/// @brief Takes in that the registry answers again after an outage.
+void noteOutageEnd(TargetTable &table, Milliseconds now);
+
 /// @brief Drops unlisted targets whose grace has ended. @return Those dropped.
 std::vector<TargetId> dropUnlisted(TargetTable &table, Milliseconds now);
 
--- a/src/fleet/target_table.cpp
+++ b/src/fleet/target_table.cpp
@@ -24,8 +24,11 @@
         return false;
     Target &target = found->second;
     if (!target.entry.isDraining) {
-        if (!target.isUnlisted)
-            target.removedAt = now;
+        if (!target.isUnlisted) {
+            target.dropAt = now + unlistedGrace;
+            if (table.hadOutage)
+                target.dropAt = std::max(target.dropAt, table.outageEndedAt + lapsedGrace);
+        }
         target.isUnlisted = true;
         return false;
     }
@@ -52,12 +55,18 @@
     return missing;
 }
 
+void noteOutageEnd(TargetTable &table, Milliseconds now)
+{
+    table.hadOutage = true;
+    table.outageEndedAt = now;
+}
+
 std::vector<TargetId> dropUnlisted(TargetTable &table, Milliseconds now)
 {
     std::vector<TargetId> dropped;
     for (auto position = table.targets.begin(); position != table.targets.end();) {
         const Target &target = position->second;
-        if (target.isUnlisted && now - target.removedAt >= unlistedGrace) {
+        if (target.isUnlisted && now >= target.dropAt) {
             dropped.push_back(position->first);
             position = table.targets.erase(position);
         } else {
