Count the requests that engines report and the ledger does not know

Cause: some engines go on with requests whose callers have left. Their slots were full while the ledger took them for free, so short requests queued for 500 to 800 ms at engines that were expected to answer in 200 ms.

Change: the load that an answer states is compared with the works known at its engine; the excess counts in the engine's fill for 1.5 s and is passed on with the news of first events.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -233,8 +233,9 @@
     ++m_history.mayHaveRun;
 }
 
-void Exchange::onAnswerHead(http::ResponseHead head)
+void Exchange::onAnswerHead(http::ResponseHead head, std::optional<int> inHand)
 {
+    m_reportedInHand = inHand;
     m_answerHead = std::move(head);
     m_isEventStream
         = m_route->repetition == fleet::Repetition::Stream && m_answerHead.status == 200;
@@ -272,7 +273,8 @@
     if (!m_isWriting) {
         m_isWriting = true;
         m_services.placement.noteWriting(m_placement.work, m_placement.expectedMs,
-                                         static_cast<double>((now - m_sentAt).count()));
+                                         static_cast<double>((now - m_sentAt).count()),
+                                         m_reportedInHand);
     }
     if (!m_history.hasAnswerBegun) {
         m_history.hasAnswerBegun = true;
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -43,7 +43,7 @@
 
 private:
     void onRequestSent() override;
-    void onAnswerHead(http::ResponseHead head) override;
+    void onAnswerHead(http::ResponseHead head, std::optional<int> inHand) override;
     void onAnswerBytes(std::string bytes) override;
     void onAnswerComplete() override;
     void onSendFailed(limits::SendFailure failure, const std::string &faultyAddress) override;
@@ -86,6 +86,7 @@
     Placement m_placement;
     TargetSend m_send;
     http::ResponseHead m_answerHead;
+    std::optional<int> m_reportedInHand; ///< Requests that the target has, by its own word.
     std::string m_buffer; ///< Body of an answer that is passed on as a whole.
     bool m_isEventStream = false;
     http::EventScanner m_scanner;
--- a/apps/node/peer_news.capnp
+++ b/apps/node/peer_news.capnp
@@ -37,6 +37,14 @@
   lifeMs @3 :UInt32;
 }
 
+struct Progress {
+  # The first event of a work has come.
+  id @0 :UInt64;
+  target @1 :UInt64;
+  inHand @2 :Int32 = -1;
+  # What the target says it has in hand; negative: it does not say.
+}
+
 struct Distrust {
   target @0 :UInt64;
   leftMs @1 :UInt32;
@@ -48,7 +56,7 @@
   roster @2 :List(RosterEntry);
   # Empty in messages that tell of work only.
   placed @3 :List(PlacedWork);
-  writing @4 :List(UInt64);
+  writing @4 :List(Progress);
   ended @5 :List(UInt64);
   isStatement @6 :Bool;
   # `placed` and `waiting` hold all work of the sender: what is missing there has ended.
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -225,9 +225,10 @@
     scheduleFlush(placedDelay);
 }
 
-void PeerService::tellWriting(std::uint64_t id)
+void PeerService::tellWriting(std::uint64_t id, placement::EngineKey target,
+                              std::optional<int> inHand)
 {
-    m_writing.push_back(id);
+    m_writing.push_back({ id, target, inHand });
     scheduleFlush(progressDelay);
 }
 
@@ -291,9 +292,12 @@
             waiting.push_back(waits);
     }
     writeWorks(news, works, waiting, m_reactor.now());
-    capnp::List<std::uint64_t>::Builder writing = news.initWriting(m_writing.size());
-    for (unsigned i = 0; i < m_writing.size(); ++i)
-        writing.set(i, m_writing[i]);
+    capnp::List<wire::Progress>::Builder writing = news.initWriting(m_writing.size());
+    for (unsigned i = 0; i < m_writing.size(); ++i) {
+        writing[i].setId(m_writing[i].id);
+        writing[i].setTarget(m_writing[i].target);
+        writing[i].setInHand(m_writing[i].inHand.value_or(-1));
+    }
     capnp::List<std::uint64_t>::Builder ended = news.initEnded(m_ended.size());
     for (unsigned i = 0; i < m_ended.size(); ++i)
         ended.set(i, m_ended[i]);
@@ -411,8 +415,11 @@
             stated.push_back(waiting.getId());
             m_placement->noteRemoteWaiting(readWaiting(waiting, host, now));
         }
-        for (const std::uint64_t id : news.getWriting())
-            m_placement->noteRemoteWriting(id);
+        for (const wire::Progress::Reader progress : news.getWriting()) {
+            m_placement->noteRemoteWriting(progress.getId());
+            if (progress.getInHand() >= 0)
+                m_placement->noteReport(progress.getTarget(), progress.getInHand());
+        }
         for (const std::uint64_t id : news.getEnded())
             m_placement->noteRemoteEnd(id);
         if (news.getIsStatement()) {
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -49,7 +50,7 @@
     /// @brief Tells the others of a placement made here or of one that waits, of its first event,
     ///        of its end.
     void tellPlaced(std::uint64_t id);
-    void tellWriting(std::uint64_t id);
+    void tellWriting(std::uint64_t id, placement::EngineKey target, std::optional<int> inHand);
     void tellEnded(std::uint64_t id);
 
     /// @brief Tells the others that a target does not answer.
@@ -70,6 +71,13 @@
 private:
     class Socket;
 
+    struct Progress
+    {
+        std::uint64_t id = 0;
+        placement::EngineKey target = 0;
+        std::optional<int> inHand;
+    };
+
     void receive(const std::string &sender, const char *data, std::size_t size);
     void sendDigest();
     void sendDigestTo(const std::vector<std::string> &hosts);
@@ -92,7 +100,7 @@
     std::vector<InstanceId> m_living;
     std::shared_ptr<Socket> m_socket;
     std::vector<std::uint64_t> m_placed;
-    std::vector<std::uint64_t> m_writing;
+    std::vector<Progress> m_writing;
     std::vector<std::uint64_t> m_ended;
     std::vector<placement::EngineKey> m_distrusted;
     Milliseconds m_flushAt;
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -263,13 +263,23 @@
     return placed;
 }
 
-void PlacementService::noteWriting(std::uint64_t work, double expectedMs, double takenMs)
+void PlacementService::noteWriting(std::uint64_t work, double expectedMs, double takenMs,
+                                   std::optional<int> inHand)
 {
-    if (work == 0)
+    const placement::Work *known = findWork(work);
+    if (known == nullptr)
         return;
+    const placement::EngineKey target = known->engines.front();
     placement::notePace(m_ledger, work, expectedMs, takenMs);
     placement::noteWriting(m_ledger, work, m_reactor.now());
-    m_peers->tellWriting(work);
+    if (inHand)
+        placement::noteReport(m_ledger, target, *inHand, m_reactor.now());
+    m_peers->tellWriting(work, target, inHand);
+}
+
+void PlacementService::noteReport(placement::EngineKey target, int inHand)
+{
+    placement::noteReport(m_ledger, target, inHand, m_reactor.now());
 }
 
 double PlacementService::readingBacklog(const TargetId &target) const
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -84,7 +84,9 @@
 
     /// @brief The first event of a work placed here has come.
     /// @param expectedMs What was expected at its placement. @param takenMs What it took.
-    void noteWriting(std::uint64_t work, double expectedMs, double takenMs);
+    /// @param inHand What the target said that it has in hand, if it did.
+    void noteWriting(std::uint64_t work, double expectedMs, double takenMs,
+                     std::optional<int> inHand);
 
     /// @brief Milliseconds until a target has read what is placed there.
     double readingBacklog(const TargetId &target) const;
@@ -98,6 +100,7 @@
     void noteRemoteWork(placement::Work work);
     void noteRemoteWaiting(const placement::WaitingWork &waiting);
     void noteRemoteWriting(std::uint64_t id);
+    void noteReport(placement::EngineKey target, int inHand);
     void noteRemoteEnd(std::uint64_t id);
     void keepStated(const std::string &owner, const std::vector<std::uint64_t> &stated);
     void forgetOwner(const std::string &owner);
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -127,7 +127,7 @@
         m_listener.onSendFailed(limits::SendFailure::Declined, faulty);
         return false;
     }
-    m_listener.onAnswerHead(m_head);
+    m_listener.onAnswerHead(m_head, m_fields.inHand);
     return true;
 }
 
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -26,7 +26,8 @@
     virtual ~SendListener() = default;
 
     virtual void onRequestSent() = 0; ///< From now on the target may execute the request.
-    virtual void onAnswerHead(http::ResponseHead head) = 0;
+    /// @param inHand Requests that the target says it has in hand, if it does.
+    virtual void onAnswerHead(http::ResponseHead head, std::optional<int> inHand) = 0;
     virtual void onAnswerBytes(std::string bytes) = 0;
     virtual void onAnswerComplete() = 0;
 
--- a/include/egretmount/placement/ledger.h
+++ b/include/egretmount/placement/ledger.h
@@ -38,8 +38,13 @@
     Milliseconds lastReadAt; ///< When the last part known to be read was read.
     std::vector<std::uint64_t> works; ///< In the order of placement.
     double pace = 1; ///< Measured reading time over the published one.
+    int unknown = 0; ///< Requests that the engine reported beyond those known here.
+    Milliseconds reportedAt;
 };
 
+/// @brief How long a report of unknown requests counts; an answer takes about this long to write.
+constexpr Milliseconds reportLife = Milliseconds(1'500);
+
 /// @brief A long prompt that waits for engines to be free.
 struct WaitingWork
 {
@@ -95,6 +100,14 @@
 /// @brief Takes in that the first event of a work has come: all its parts are read.
 void noteWriting(Ledger &ledger, std::uint64_t id, Milliseconds now);
 
+/// @brief Takes in how many requests an engine says it has in hand.
+///
+/// Some go on although their caller has left, or come from an instance that is gone.
+void noteReport(Ledger &ledger, EngineKey engine, int inHand, Milliseconds now);
+
+/// @brief Requests at an engine that are not in the ledger, as last reported.
+int unknownRequests(const EngineState &engine, Milliseconds now);
+
 /// @brief Takes in how long a work without helpers took against what was expected.
 void notePace(Ledger &ledger, std::uint64_t id, double expectedMs, double takenMs);
 
--- a/src/placement/engine_load.cpp
+++ b/src/placement/engine_load.cpp
@@ -33,6 +33,7 @@
     const auto found = ledger.engines.find(candidate.key);
     if (found != ledger.engines.end()) {
         load.pace = found->second.pace;
+        load.unknown = unknownRequests(found->second, now);
         for (const std::uint64_t id : found->second.works) {
             const Work &work = ledger.works.at(id);
             if (work.engines.front() == candidate.key) {
--- a/src/placement/engine_load.h
+++ b/src/placement/engine_load.h
@@ -29,6 +29,7 @@
     double pace = 1;
     double passMs = 0; ///< A pass without reading, the new request's writing included.
     int received = 0; ///< Requests that it writes or will write.
+    int unknown = 0; ///< Requests that it says it has, beyond those.
     int helped = 0; ///< Parts that it reads for others.
     int shortWriters = 0; ///< Streams with a pause target as tight as the new one's, or tighter.
     TokenCount memory = 0;
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -96,6 +96,18 @@
     work.isWriting = true;
 }
 
+void noteReport(Ledger &ledger, EngineKey engine, int inHand, Milliseconds now)
+{
+    EngineState &state = ledger.engines[engine];
+    state.unknown = std::max(0, inHand - static_cast<int>(state.works.size()));
+    state.reportedAt = now;
+}
+
+int unknownRequests(const EngineState &engine, Milliseconds now)
+{
+    return now - engine.reportedAt < reportLife ? engine.unknown : 0;
+}
+
 void notePace(Ledger &ledger, std::uint64_t id, double expectedMs, double takenMs)
 {
     const auto found = ledger.works.find(id);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -122,7 +122,8 @@
 double receivingCost(const EngineLoad &load, const fleet::EngineSpeed &speed, const Demand &demand,
                      const Attempt &attempt)
 {
-    const double fill = static_cast<double>(load.received) / (slotFill * speed.slots);
+    const double fill
+        = static_cast<double>(load.received + load.unknown) / (slotFill * speed.slots);
     double cost = demand.weight * lateLoss * ramp(fill, 1.0, 1.0 / slotFill);
     if (load.shortWriters == 0)
         cost += spreadLoss;
