Set memory aside for prompts beyond one engine; price long reading

Cause: prompts above 405,000 tokens fit no engine and were refused at any load. Reading grows with the square of a prompt's size, what its answer is worth only with the size.

A long prompt is taken if the weight of the answer it can still get is above its reading, priced by how long others wait; otherwise it is refused at once and told when to come back.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -35,6 +35,8 @@
 // An idempotent request is repeated elsewhere if nothing has come after this share of its time:
 // late enough for a busy target, early enough for a second one.
 constexpr double plainSilenceShare = 0.5;
+// When to try again after an engine had no memory to set aside.
+constexpr Milliseconds memoryRetryDelay = Milliseconds(150);
 // When to come back after a send that did not run: some other target may have room at once.
 constexpr Milliseconds declinedDelay = Milliseconds(250);
 // When to come back to an instance that stops: another one can be asked at once.
@@ -158,7 +160,7 @@
     const Decision decision = place();
     if (const Placement *placement = std::get_if<Placement>(&decision)) {
         m_waitingWork = 0;
-        sendTo(*placement);
+        prepare(*placement);
     } else if (const Waiting *waiting = std::get_if<Waiting>(&decision)) {
         waitForTurn(*waiting);
     } else {
@@ -199,6 +201,31 @@
         answerOwn(502, "target-failed");
 }
 
+void Exchange::prepare(const Placement &placement)
+{
+    if (placement.tickets.empty()) {
+        sendTo(placement);
+        return;
+    }
+    m_placement = placement;
+    m_tickets = std::make_shared<MemoryTickets>(m_services.reactor, placement.tickets);
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_tickets->reserve([weak, placement](bool isReserved) {
+        const std::shared_ptr<Exchange> self = weak.lock();
+        if (!self || self->m_isOver)
+            return;
+        if (isReserved) {
+            self->sendTo(placement);
+            return;
+        }
+        LOG(INFO) << "placement: no memory set aside id=" << self->m_caller.requestId
+                  << " tickets=" << placement.tickets.size();
+        self->endSend();
+        if (self->timeLeft() > Milliseconds())
+            self->waitForTurn({ 0, memoryRetryDelay });
+    });
+}
+
 void Exchange::sendTo(const Placement &placement)
 {
     m_placement = placement;
@@ -207,7 +234,7 @@
     fields.target = placement.target.id;
     fields.team = m_team;
     fields.timeLeft = timeLeft();
-    fields.helperAddresses = placement.helperAddresses;
+    fields.helperNames = placement.helperNames;
     if (m_history.hasAnswerBegun && !m_scanner.lastId.empty())
         fields.resumeAfter = m_scanner.lastId;
     m_scanner.partial.clear();
@@ -440,7 +467,7 @@
     m_send.cancel();
     endSend();
     m_services.targets.noteFailure(keyOf(silent), m_service->engine.has_value());
-    sendTo(*placement);
+    prepare(*placement);
 }
 
 void Exchange::endSend(bool isServed)
@@ -451,6 +478,10 @@
         m_services.placement.noteEnd(m_waitingWork, false);
         m_waitingWork = 0;
     }
+    if (m_tickets) {
+        m_tickets->release();
+        m_tickets.reset();
+    }
     if (m_placement.work != 0) {
         m_services.placement.noteEnd(m_placement.work, isServed);
         m_placement.work = 0;
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -50,6 +50,7 @@
 
     bool checkRequest();
     void send();
+    void prepare(const Placement &placement);
     void sendTo(const Placement &placement);
     Decision place();
     void waitForTurn(const Waiting &waiting);
@@ -84,6 +85,7 @@
     limits::SendHistory m_history;
     std::set<TargetId> m_failedTargets;
     Placement m_placement;
+    std::shared_ptr<MemoryTickets> m_tickets; ///< Null: the first engine holds all memory.
     TargetSend m_send;
     http::ResponseHead m_answerHead;
     std::optional<int> m_reportedInHand; ///< Requests that the target has, by its own word.
--- a/apps/node/peer_news.capnp
+++ b/apps/node/peer_news.capnp
@@ -28,6 +28,8 @@
   latencyTargetMs @10 :UInt32;
   dueInMs @11 :Int32;
   # Until its first event is late.
+  memory @12 :List(UInt32);
+  # Tokens held at each engine; shorter than the list of engines: nothing at the rest.
 }
 
 struct WaitingWork {
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -50,6 +50,12 @@
     capnp::List<std::uint64_t>::Builder engines = out.initEngines(work.engines.size());
     for (unsigned i = 0; i < work.engines.size(); ++i)
         engines.set(i, work.engines[i]);
+    std::size_t held = work.memory.size();
+    while (held > 0 && work.memory[held - 1] == 0)
+        --held;
+    capnp::List<std::uint32_t>::Builder memory = out.initMemory(static_cast<unsigned>(held));
+    for (unsigned i = 0; i < held; ++i)
+        memory.set(i, static_cast<std::uint32_t>(work.memory[i]));
     out.setPromptTokens(static_cast<std::uint32_t>(work.promptTokens));
     out.setPartMs(static_cast<float>(work.partMs));
     out.setWeight(static_cast<float>(work.weight));
@@ -91,6 +97,8 @@
     work.owner = owner;
     for (const std::uint64_t engine : in.getEngines())
         work.engines.push_back(engine);
+    for (const std::uint32_t tokens : in.getMemory())
+        work.memory.push_back(tokens);
     work.promptTokens = in.getPromptTokens();
     work.partMs = in.getPartMs();
     work.weight = in.getWeight();
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -6,10 +6,12 @@
 #include <glog/logging.h>
 
 #include <egretmount/core/hash.h>
+#include <egretmount/placement/admission.h>
 #include <egretmount/placement/engine_cost.h>
 
 #include "fleet_service.h"
 #include "peer_service.h"
+#include "platform/orders.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -135,6 +137,14 @@
     demand.mayWait = !hasRun;
     const bool hasTurn = m_peers->isSettled()
         && placement::isFirstInLine(m_ledger, work, turnOf(service, demand));
+    if (!isShort && !hasRun && work == 0) {
+        const placement::LongLane lane = longLane(service, demand);
+        if (!placement::isWorthTaking(*service.engine, lane, demand))
+            return Refusal { RefusalReason::Overloaded,
+                             roundedUp(placement::expectedWait(
+                                 lane, placement::partReadingTime(*service.engine,
+                                                                  demand.promptTokens, 1))) };
+    }
     if (!isShort && !hasRun && !hasTurn)
         return wait(service, demand, life, work);
     std::set<TargetId> unavailable = excluded;
@@ -155,7 +165,7 @@
                       << " in_hand=" << m_ledger.works.size()
                       << " waiting=" << m_ledger.waiting.size();
             const bool mayWait = !hasRun && !isShort && demand.waited < demand.latencyTarget;
-            if (mayWait && demand.promptTokens < service.engine->memoryTokens)
+            if (mayWait)
                 return wait(service, demand, life, work);
             return Refusal { RefusalReason::AllFull, fullDelay };
         }
@@ -177,6 +187,19 @@
     }
 }
 
+placement::LongLane PlacementService::longLane(const fleet::ServiceSpec &service,
+                                               const placement::Demand &demand) const
+{
+    const std::vector<const fleet::Target *> targets = usableTargets(service.id, {});
+    placement::LongLane lane;
+    const int all = static_cast<int>(targets.size());
+    lane.engines = all - placement::shortLaneSize(*service.engine, outlook(), all);
+    for (const fleet::Target *target : targets)
+        lane.backlogMs += readingBacklog(target->entry.id);
+    lane.waitingMs = placement::readingAhead(m_ledger, turnOf(service, demand));
+    return lane;
+}
+
 Milliseconds PlacementService::turnOf(const fleet::ServiceSpec &service,
                                       const placement::Demand &demand) const
 {
@@ -210,15 +233,23 @@
     placed.target = m_fleet->targetWithKey(plan.engines.front())->entry;
     placed.expectedMs = plan.firstEventMs;
     placed.partMs = plan.partMs;
+    placed.work = work != 0 ? work : ++m_nextWork;
     for (std::size_t i = 1; i < plan.engines.size(); ++i) {
         const fleet::TargetEntry &helper = m_fleet->targetWithKey(plan.engines[i])->entry;
+        std::string ticket;
+        if (plan.memory[i] > 0) {
+            // Never the same name twice: an order without an answer may be carried out much later.
+            ticket = 'e' + std::to_string(placed.work) + '-' + std::to_string(++m_lastTicket);
+            placed.tickets.push_back({ helper.address, ticket, plan.memory[i] });
+        }
         placed.helpers.push_back(helper.id);
-        placed.helperAddresses.push_back(helper.address);
+        placed.helperNames.push_back(platform::helperName(helper.address, ticket));
     }
     placement::Work entry;
-    entry.id = placed.work = work != 0 ? work : ++m_nextWork;
+    entry.id = placed.work;
     entry.owner = m_fleet->settings().host;
     entry.engines = plan.engines;
+    entry.memory = plan.memory;
     entry.promptTokens = demand.promptTokens;
     entry.isShort = placement::isShort(*service.engine, demand.promptTokens);
     entry.partMs = plan.partMs;
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -10,11 +10,13 @@
 #include <egretmount/fleet/configuration.h>
 #include <egretmount/fleet/target_table.h>
 #include <egretmount/limits/cold_gate.h>
+#include <egretmount/placement/admission.h>
 #include <egretmount/placement/demand_rate.h>
 #include <egretmount/placement/ledger.h>
 #include <egretmount/placement/planner.h>
 
 #include "kernel/service.h"
+#include "memory_tickets.h"
 #include "net/reactor.h"
 
 namespace egretmount::node {
@@ -28,7 +30,8 @@
 {
     fleet::TargetEntry target;
     std::vector<TargetId> helpers; ///< Engines that read a part of the prompt.
-    std::vector<std::string> helperAddresses; ///< In the same order.
+    std::vector<std::string> helperNames; ///< Addresses and tickets, in the same order.
+    std::vector<MemoryTicket> tickets; ///< Memory to set aside before the request is sent.
     std::uint64_t work = 0; ///< Its entry in the ledger; zero for plain services.
     double expectedMs = 0; ///< Until the first event; zero for plain services.
     double partMs = 0; ///< Expected reading time of each part of the prompt.
@@ -46,6 +49,7 @@
     NoTarget, ///< No usable target of the service is known.
     AllFull, ///< No target has a place.
     TooLate, ///< The answer would begin after the caller has left.
+    Overloaded, ///< Its reading would hold up more than its answer is worth.
 };
 
 /// @brief A request that is not placed.
@@ -123,6 +127,8 @@
     PeerService *m_peers = nullptr;
     TargetPool *m_targets = nullptr;
     placement::Outlook outlook() const;
+    placement::LongLane longLane(const fleet::ServiceSpec &service,
+                                 const placement::Demand &demand) const;
     Milliseconds turnOf(const fleet::ServiceSpec &service, const placement::Demand &demand) const;
     Waiting wait(const fleet::ServiceSpec &service, const placement::Demand &demand,
                  Milliseconds life, std::uint64_t work);
@@ -134,6 +140,7 @@
     limits::ColdGate m_coldGate;
     std::mt19937_64 m_random;
     std::uint64_t m_nextWork;
+    std::uint64_t m_lastTicket = 0;
 };
 
 } // namespace egretmount::node
@@ -142,9 +149,10 @@
 struct egretmount::NameTable<egretmount::node::RefusalReason>
 {
     using RefusalReason = egretmount::node::RefusalReason;
-    static constexpr std::array<NameEntry<RefusalReason>, 3> entries { {
+    static constexpr std::array<NameEntry<RefusalReason>, 4> entries { {
         { RefusalReason::NoTarget, "no-target" },
         { RefusalReason::AllFull, "all-full" },
         { RefusalReason::TooLate, "too-late" },
+        { RefusalReason::Overloaded, "overloaded" },
     } };
 };
--- /dev/null
+++ b/include/egretmount/placement/admission.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <egretmount/core/clock.h>
+#include <egretmount/fleet/configuration.h>
+#include <egretmount/placement/planner.h>
+
+namespace egretmount::placement {
+
+/// @brief How busy the engines are that read long prompts.
+struct LongLane
+{
+    int engines = 0;
+    double backlogMs = 0; ///< Reading placed at all of them.
+    double waitingMs = 0; ///< Reading of the prompts that wait and go first.
+};
+
+/// @brief Milliseconds until a long prompt that arrives now begins to be read.
+/// @param readingMs Of the whole prompt at one engine.
+double expectedWait(const LongLane &lane, double readingMs);
+
+/// @brief True if a long prompt should be taken, false if it is better refused at once.
+///
+/// A long prompt takes time of engines that others wait for. Its reading is priced by how long they
+/// wait, and it is taken if the weight of the answer that it can still get is above the price:
+/// at idle engines any prompt is taken; as the line grows, the longest ones are refused first, as
+/// their reading grows with the square of their size and their weight only with the size.
+/// @param demand Its latency target and patience count from now.
+bool isWorthTaking(const fleet::EngineSpeed &speed, const LongLane &lane, const Demand &demand);
+
+} // namespace egretmount::placement
--- a/include/egretmount/placement/ledger.h
+++ b/include/egretmount/placement/ledger.h
@@ -20,6 +20,7 @@
     std::uint64_t id = 0; ///< Unique over all instances and runs.
     std::string owner; ///< Host of the instance that placed it.
     std::vector<EngineKey> engines; ///< The first one receives the request; the rest help to read.
+    std::vector<TokenCount> memory; ///< Held at each engine, in the same order.
     TokenCount promptTokens = 0;
     double partMs = 0; ///< Reading time of one part at the published speed.
     double weight = 1; ///< How much a late answer costs, against other work.
--- a/include/egretmount/placement/planner.h
+++ b/include/egretmount/placement/planner.h
@@ -34,6 +34,7 @@
 struct Plan
 {
     std::vector<EngineKey> engines; ///< The first one receives the request.
+    std::vector<TokenCount> memory; ///< Needed at each; beyond the first it is to be set aside.
     double partMs = 0; ///< Reading time of each part at the published speed.
     double startMs = 0; ///< Above zero: it is better to wait so long for engines to be free.
     double firstEventMs = 0; ///< Expected time from now to the first event.
--- a/src/daemon/net/http_call.cpp
+++ b/src/daemon/net/http_call.cpp
@@ -22,11 +22,26 @@
 }
 
 void HttpCaller::call(const std::string &target, Milliseconds timeout, Done done)
+{
+    begin("GET " + target + " HTTP/1.1\r\nHost: " + m_address + "\r\n\r\n", timeout,
+          std::move(done));
+}
+
+void HttpCaller::post(const std::string &target, const std::string &json, Milliseconds timeout,
+                      Done done)
+{
+    begin("POST " + target + " HTTP/1.1\r\nHost: " + m_address
+              + "\r\nContent-Type: application/json\r\nContent-Length: "
+              + std::to_string(json.size()) + "\r\n\r\n" + json,
+          timeout, std::move(done));
+}
+
+void HttpCaller::begin(std::string request, Milliseconds timeout, Done done)
 {
     m_done = std::move(done);
     m_hasHead = false;
     m_body.clear();
-    m_request = "GET " + target + " HTTP/1.1\r\nHost: " + m_address + "\r\n\r\n";
+    m_request = std::move(request);
     m_timer = m_reactor.after(timeout, [this] {
         m_timer = 0;
         fail();
@@ -65,7 +80,7 @@
         const tl::expected<http::ResponseHead, http::HeadProblem> head
             = http::parseResponseHead(std::string_view(input).substr(0, end));
         const tl::expected<http::BodyFraming, http::HeadProblem> framing
-            = head ? http::responseFraming(*head, "GET") : tl::unexpected(head.error());
+            = head ? http::responseFraming(*head, {}) : tl::unexpected(head.error());
         if (!framing) {
             fail();
             return;
--- a/src/daemon/net/http_call.h
+++ b/src/daemon/net/http_call.h
@@ -26,6 +26,10 @@
     /// @param timeout After this the call counts as failed and the connection is dropped.
     void call(const std::string &target, Milliseconds timeout, Done done);
 
+    /// @brief Starts a POST of a JSON body. @pre No call is under way.
+    void post(const std::string &target, const std::string &json, Milliseconds timeout,
+              Done done);
+
     /// @brief Ends the call under way, if any, as failed, and drops the connection.
     void drop();
 
@@ -35,6 +39,7 @@
     void onConnected() override;
     void onBytes() override;
     void onEnd(StreamEnd end) override;
+    void begin(std::string request, Milliseconds timeout, Done done);
     void fail();
     void finish(int status);
 
--- a/src/placement/engine_load.cpp
+++ b/src/placement/engine_load.cpp
@@ -11,10 +11,18 @@
 // Greatest effect of an engine's measured pace on the expected pauses of its streams.
 constexpr double greatestPassPace = 4;
 
-void addReceived(EngineLoad &load, const Work &work, const Demand &demand, TokenCount usualAnswer)
+TokenCount memoryAt(const Work &work, EngineKey engine)
+{
+    for (std::size_t i = 0; i < work.engines.size() && i < work.memory.size(); ++i) {
+        if (work.engines[i] == engine)
+            return work.memory[i];
+    }
+    return 0;
+}
+
+void addReceived(EngineLoad &load, const Work &work, const Demand &demand)
 {
     ++load.received;
-    load.memory += work.promptTokens + usualAnswer;
     if (work.pauseTarget <= demand.pauseTarget)
         ++load.shortWriters;
     if (work.pauseTarget > Milliseconds())
@@ -36,8 +44,9 @@
         load.unknown = unknownRequests(found->second, now);
         for (const std::uint64_t id : found->second.works) {
             const Work &work = ledger.works.at(id);
+            load.memory += memoryAt(work, candidate.key);
             if (work.engines.front() == candidate.key) {
-                addReceived(load, work, demand, speed.usualAnswer);
+                addReceived(load, work, demand);
                 context += work.isWriting ? work.promptTokens : 0;
             } else if (!work.isWriting) {
                 ++load.helped;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -42,6 +42,12 @@
 // Fixed time of a request on the way to an engine and back, milliseconds.
 constexpr double transitMs = 8;
 
+// Part of an engine's memory that is planned with: writers grow, and reports lag.
+constexpr double memoryShare = 0.97;
+// Free memory that the first engine of a prompt needs at least if the rest is set aside elsewhere.
+constexpr double ticketFirstShare = 0.4;
+constexpr std::size_t maxTickets = 3; // engines asked to set memory aside; each is an order
+
 constexpr std::array<int, 9> partChoices = { 1, 2, 3, 4, 6, 8, 11, 14, maxParts };
 
 double ramp(double value, double from, double to)
@@ -57,6 +63,7 @@
     double startMs = 0;
     int parts = 1;
     bool isLongPrompt = false;
+    bool usesTickets = false; // helpers set memory aside
 };
 
 struct Option
@@ -136,11 +143,53 @@
     return cost;
 }
 
-bool canReceive(const EngineLoad &load, const fleet::EngineSpeed &speed, const Demand &demand)
+TokenCount neededMemory(const fleet::EngineSpeed &speed, const Demand &demand)
+{
+    return demand.promptTokens + std::min(demand.answerTokens, speed.usualAnswer);
+}
+
+TokenCount freeMemory(const EngineLoad &load, const fleet::EngineSpeed &speed)
 {
-    const TokenCount answer = std::min(demand.answerTokens, speed.usualAnswer);
-    return load.candidate->mayReceive && load.received + load.helped < 2 * speed.slots
-        && load.memory + demand.promptTokens + answer <= speed.memoryTokens;
+    const TokenCount usable
+        = static_cast<TokenCount>(static_cast<double>(speed.memoryTokens) * memoryShare);
+    return std::max<TokenCount>(usable - load.memory, 0);
+}
+
+bool canReceive(const EngineLoad &load, const fleet::EngineSpeed &speed, const Demand &demand,
+                const Attempt &attempt)
+{
+    if (!load.candidate->mayReceive || load.received + load.helped >= 2 * speed.slots)
+        return false;
+    const TokenCount least = attempt.usesTickets
+        ? static_cast<TokenCount>(static_cast<double>(speed.memoryTokens) * ticketFirstShare)
+        : neededMemory(speed, demand);
+    return freeMemory(load, speed) >= least;
+}
+
+// Spreads what the first engine has no room for over the helpers with most room. False if there is
+// not enough.
+bool assignMemory(Plan &plan, const std::vector<EngineLoad> &loads,
+                  const fleet::EngineSpeed &speed, const Demand &demand)
+{
+    plan.memory.assign(plan.engines.size(), 0);
+    std::vector<std::pair<TokenCount, std::size_t>> rooms;
+    for (std::size_t i = 0; i < plan.engines.size(); ++i) {
+        for (const EngineLoad &load : loads) {
+            if (load.candidate->key == plan.engines[i])
+                rooms.emplace_back(freeMemory(load, speed), i);
+        }
+    }
+    TokenCount left = neededMemory(speed, demand);
+    plan.memory[0] = std::min(left, rooms[0].first);
+    left -= plan.memory[0];
+    std::sort(rooms.begin() + 1, rooms.end(),
+              [](const auto &a, const auto &b) { return a.first > b.first; });
+    for (std::size_t i = 1; i < rooms.size() && i <= maxTickets && left > 0; ++i) {
+        const TokenCount taken = std::min(left, rooms[i].first);
+        plan.memory[rooms[i].second] = taken;
+        left -= taken;
+    }
+    return left <= 0;
 }
 
 bool canRead(const EngineLoad &load, const fleet::EngineSpeed &speed, const Attempt &attempt)
@@ -186,7 +235,7 @@
     const Option *first = nullptr;
     double least = 0;
     for (const Option &option : options) {
-        if (!canReceive(*option.load, speed, demand))
+        if (!canReceive(*option.load, speed, demand, attempt))
             continue;
         const double cost = option.cost + receivingCost(*option.load, speed, demand, attempt);
         if (first == nullptr || cost < least) {
@@ -228,6 +277,8 @@
     }
     if (plan.engines.size() < parts)
         return std::nullopt;
+    if (!assignMemory(plan, loads, speed, demand))
+        return std::nullopt;
     plan.firstEventMs = finish + first.load->passMs + transitMs;
     plan.cost = harm + latenessCost(demand, plan.firstEventMs)
         + demand.weight * partLoss * attempt.parts;
@@ -250,6 +301,35 @@
     return *position;
 }
 
+std::optional<Plan> bestPlan(const std::vector<EngineLoad> &loads,
+                             const fleet::EngineSpeed &speed, const Demand &demand,
+                             Attempt attempt)
+{
+    std::optional<Plan> best;
+    const auto consider = [&] {
+        const std::optional<Plan> plan = planAttempt(loads, speed, demand, attempt);
+        if (plan && (!best || plan->cost < best->cost))
+            best = plan;
+    };
+    for (const int parts : partChoices) {
+        if (parts > 1 && demand.promptTokens / parts < speed.chunkTokens)
+            break;
+        attempt.parts = parts;
+        attempt.partMs = partReadingTime(speed, demand.promptTokens, parts);
+        attempt.perPass = readingPerPass(speed, attempt.partMs, demand.promptTokens / parts);
+        attempt.startMs = 0;
+        consider();
+        const std::optional<double> free = attempt.isLongPrompt && demand.mayWait
+            ? timeOfFreeEngines(loads, speed, attempt)
+            : std::nullopt;
+        if (free && *free > 0) {
+            attempt.startMs = *free;
+            consider();
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 double weightOf(const fleet::EngineSpeed &speed, TokenCount promptTokens)
@@ -282,28 +362,11 @@
     markLane(loads, shortLaneSize(speed, outlook, static_cast<int>(loads.size())));
     Attempt attempt;
     attempt.isLongPrompt = !isShort(speed, demand.promptTokens);
-    std::optional<Plan> best;
-    const auto consider = [&] {
-        const std::optional<Plan> plan = planAttempt(loads, speed, demand, attempt);
-        if (plan && (!best || plan->cost < best->cost))
-            best = plan;
-    };
-    for (const int parts : partChoices) {
-        if (parts > 1 && demand.promptTokens / parts < speed.chunkTokens)
-            break;
-        attempt.parts = parts;
-        attempt.partMs = partReadingTime(speed, demand.promptTokens, parts);
-        attempt.perPass = readingPerPass(speed, attempt.partMs, demand.promptTokens / parts);
-        attempt.startMs = 0;
-        consider();
-        const std::optional<double> free
-            = attempt.isLongPrompt && demand.mayWait ? timeOfFreeEngines(loads, speed, attempt) : std::nullopt;
-        if (free && *free > 0) {
-            attempt.startMs = *free;
-            consider();
-        }
-    }
-    return best;
+    const std::optional<Plan> plan = bestPlan(loads, speed, demand, attempt);
+    if (plan || !attempt.isLongPrompt)
+        return plan;
+    attempt.usesTickets = true;
+    return bestPlan(loads, speed, demand, attempt);
 }
 
 } // namespace egretmount::placement
