Send large bodies; price long reading by recent demand as well

Cause: POCO reports a full kernel buffer as an error. It counted as a broken connection, so every request with a body above some 100 kB, the largest prompts, failed at once with 502.

Change: that error means try later. The price of reading follows the reading that was placed of late as a share of what the lane can read, or the line, whichever is more.

--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -40,6 +40,8 @@
 constexpr double startTolerance = 25;
 // How often a waiting prompt looks whether it has its turn and engines are free.
 constexpr Milliseconds askAgainDelay = Milliseconds(20);
+// Long prompts are few: their demand is averaged over some of them.
+constexpr Milliseconds longDemandWindow = Milliseconds(4'000);
 constexpr Milliseconds ledgerSweep = Milliseconds(250);
 
 Milliseconds roundedUp(double milliseconds)
@@ -54,7 +56,9 @@
     , m_registry(registry)
     , m_random(std::random_device()())
     , m_nextWork(m_random())
-{ }
+{
+    m_longReading.window = longDemandWindow;
+}
 
 void PlacementService::start()
 {
@@ -133,7 +137,7 @@
     const Milliseconds now = m_reactor.now();
     const bool isShort = placement::isShort(*service.engine, demand.promptTokens);
     if (!hasRun && isShort)
-        placement::noteArrival(m_shortDemand, now);
+        placement::noteArrival(m_shortDemand, 1, now);
     demand.mayWait = !hasRun;
     const bool hasTurn = m_peers->isSettled()
         && placement::isFirstInLine(m_ledger, work, turnOf(service, demand));
@@ -196,6 +200,8 @@
     lane.engines = all - placement::shortLaneSize(*service.engine, outlook(), all);
     for (const fleet::Target *target : targets)
         lane.backlogMs += readingBacklog(target->entry.id);
+    lane.demand = placement::currentRate(m_longReading, m_reactor.now())
+        / (1'000.0 * std::max(lane.engines, 1));
     lane.waitingMs = placement::readingAhead(m_ledger, turnOf(service, demand));
     return lane;
 }
@@ -259,6 +265,7 @@
     entry.pauseTarget = demand.pauseTarget;
     entry.placedAt = now;
     entry.expiresAt = now + life;
+    noteLongReading(entry);
     placement::addWork(m_ledger, std::move(entry));
     m_peers->tellPlaced(placed.work);
     return placed;
@@ -329,10 +336,21 @@
     m_peers->tellEnded(work);
 }
 
+void PlacementService::noteLongReading(const placement::Work &work)
+{
+    if (!work.isShort) {
+        placement::noteArrival(m_longReading,
+                               work.partMs * static_cast<double>(work.engines.size()),
+                               m_reactor.now());
+    }
+}
+
 void PlacementService::noteRemoteWork(placement::Work work)
 {
     const bool isWriting = work.isWriting;
     const std::uint64_t id = work.id;
+    if (findWork(id) == nullptr)
+        noteLongReading(work);
     placement::addWork(m_ledger, std::move(work));
     if (isWriting)
         placement::noteWriting(m_ledger, id, m_reactor.now());
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -129,6 +129,7 @@
     placement::Outlook outlook() const;
     placement::LongLane longLane(const fleet::ServiceSpec &service,
                                  const placement::Demand &demand) const;
+    void noteLongReading(const placement::Work &work);
     Milliseconds turnOf(const fleet::ServiceSpec &service, const placement::Demand &demand) const;
     Waiting wait(const fleet::ServiceSpec &service, const placement::Demand &demand,
                  Milliseconds life, std::uint64_t work);
@@ -137,6 +138,7 @@
 
     placement::Ledger m_ledger;
     placement::DemandRate m_shortDemand; ///< Of this instance's callers.
+    placement::DemandRate m_longReading; ///< Placed by all instances, milliseconds.
     limits::ColdGate m_coldGate;
     std::mt19937_64 m_random;
     std::uint64_t m_nextWork;
--- a/include/egretmount/placement/admission.h
+++ b/include/egretmount/placement/admission.h
@@ -12,6 +12,7 @@
     int engines = 0;
     double backlogMs = 0; ///< Reading placed at all of them.
     double waitingMs = 0; ///< Reading of the prompts that wait and go first.
+    double demand = 0; ///< Reading that was placed lately, as a share of what the lane can read.
 };
 
 /// @brief Milliseconds until a long prompt that arrives now begins to be read.
@@ -20,9 +21,10 @@
 
 /// @brief True if a long prompt should be taken, false if it is better refused at once.
 ///
-/// A long prompt takes time of engines that others wait for. Its reading is priced by how long they
-/// wait, and it is taken if the weight of the answer that it can still get is above the price:
-/// at idle engines any prompt is taken; as the line grows, the longest ones are refused first, as
+/// A long prompt takes time of engines that others wait for, or will. Its reading is priced by how
+/// long they wait or by the demand of late, whichever is more, and it is taken if the weight of the
+/// answer that it can still get is above the price: at idle engines any prompt is taken; as the
+/// demand or the line grows, the longest ones are refused first, as
 /// their reading grows with the square of their size and their weight only with the size.
 /// @param demand Its latency target and patience count from now.
 bool isWorthTaking(const fleet::EngineSpeed &speed, const LongLane &lane, const Demand &demand);
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -1,6 +1,7 @@
 #include "net/tcp_stream.h"
 
 #include <array>
+#include <cerrno>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -195,7 +196,9 @@
         int count = 0;
         try {
             count = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-        } catch (const Poco::Exception &) {
+        } catch (const Poco::Exception &error) {
+            if (error.code() == EAGAIN || error.code() == EWOULDBLOCK)
+                return;
             finish(StreamEnd::Reset); // the user logs it with what it meant for the request
             return;
         }
@@ -222,11 +225,13 @@
         try {
             count = m_socket.sendBytes(m_output.data() + m_sent, static_cast<int>(unsent()),
                                        MSG_NOSIGNAL);
-        } catch (const Poco::TimeoutException &) {
-            count = -1; // the kernel's buffer is full
-        } catch (const Poco::Exception &) {
-            finish(StreamEnd::Reset);
-            return;
+        } catch (const Poco::Exception &error) {
+            // POCO reports a full kernel buffer as an error.
+            if (error.code() != EAGAIN && error.code() != EWOULDBLOCK) {
+                finish(StreamEnd::Reset);
+                return;
+            }
+            count = -1;
         }
         if (count <= 0)
             break;
--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -51,7 +51,8 @@
     // The price of a millisecond once others wait for their whole target: what a prompt is worth
     // that one engine reads in just that time.
     const TokenCount usual = static_cast<TokenCount>(tokensRead(speed, target));
-    const double price = weightOf(speed, usual) / target * std::min(wait / target, 1.0);
+    const double scarcity = std::min(std::max(wait / target, lane.demand), 1.0);
+    const double price = weightOf(speed, usual) / target * scarcity;
     return worth >= price * reading;
 }
 
--- a/src/placement/demand_rate.cpp
+++ b/src/placement/demand_rate.cpp
@@ -9,18 +9,23 @@
 double decay(const DemandRate &rate, Milliseconds now)
 {
     const double age = static_cast<double>((now - rate.updatedAt).count());
-    return std::exp(-age / static_cast<double>(rateWindow.count()));
+    return std::exp(-age / static_cast<double>(rate.window.count()));
 }
 
 } // namespace
 
-void noteArrival(DemandRate &rate, Milliseconds now)
+void noteArrival(DemandRate &rate, double amount, Milliseconds now)
 {
-    rate.perSecond = rate.perSecond * decay(rate, now)
-        + 1'000.0 / static_cast<double>(rateWindow.count());
+    rate.perSecond = currentRate(rate, now)
+        + amount * 1'000.0 / static_cast<double>(rate.window.count());
     rate.updatedAt = now;
 }
 
+double currentRate(const DemandRate &rate, Milliseconds now)
+{
+    return rate.perSecond * decay(rate, now);
+}
+
 void noteServed(DemandRate &rate, Milliseconds inHand)
 {
     const double seconds = static_cast<double>(inHand.count()) / 1'000;
@@ -29,7 +34,7 @@
 
 double expectedInHand(const DemandRate &rate, Milliseconds now)
 {
-    return rate.perSecond * decay(rate, now) * rate.secondsInHand;
+    return currentRate(rate, now) * rate.secondsInHand;
 }
 
 } // namespace egretmount::placement
