--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -140,7 +140,9 @@
         placement::noteArrival(m_shortDemand, 1, now);
     demand.mayWait = !hasRun;
     const bool hasTurn = m_peers->isSettled()
-        && placement::isFirstInLine(m_ledger, work, turnOf(service, demand));
+        && placement::isFirstInLine(m_ledger, work, turnOf(service, demand),
+                                    placement::partReadingTime(*service.engine,
+                                                               demand.promptTokens, 1));
     if (!isShort && !hasRun && work == 0) {
         const placement::LongLane lane = longLane(service, demand);
         if (!placement::isWorthTaking(*service.engine, lane, demand))
@@ -202,7 +204,9 @@
         lane.backlogMs += readingBacklog(target->entry.id);
     lane.demand = placement::currentRate(m_longReading, m_reactor.now())
         / (1'000.0 * std::max(lane.engines, 1));
-    lane.waitingMs = placement::readingAhead(m_ledger, turnOf(service, demand));
+    lane.waitingMs = placement::readingAhead(
+        m_ledger, turnOf(service, demand),
+        placement::partReadingTime(*service.engine, demand.promptTokens, 1));
     return lane;
 }
 
--- a/include/egretmount/placement/ledger.h
+++ b/include/egretmount/placement/ledger.h
@@ -78,7 +78,11 @@
 ///
 /// Lets middle prompts pass very long ones, which take many engines for seconds, without letting
 /// the latter wait for ever.
-constexpr double turnDelay = 0.25;
+constexpr double turnDelay = 0.5;
+
+/// @brief A prompt does not wait behind one that takes so many times as long to read: engines read
+///        the part that came last first, so it costs the longer one little.
+constexpr double passingFactor = 4;
 
 /// @brief When a prompt that arrived at a time has its turn.
 Milliseconds turnOf(Milliseconds arrivedAt, double readingMs);
@@ -86,12 +90,13 @@
 /// @brief Enters a waiting work, or corrects its turn.
 void addWaiting(Ledger &ledger, const WaitingWork &waiting);
 
-/// @brief True if no other waiting work has an earlier turn.
+/// @brief True if no other waiting work has an earlier turn, leaving aside those that it passes.
+/// @param readingMs Of the whole prompt at one engine.
 /// @complexity Linear in the waiting works.
-bool isFirstInLine(const Ledger &ledger, std::uint64_t id, Milliseconds turn);
+bool isFirstInLine(const Ledger &ledger, std::uint64_t id, Milliseconds turn, double readingMs);
 
-/// @brief Reading time of the waiting works whose turn is before a time, milliseconds.
-double readingAhead(const Ledger &ledger, Milliseconds turn);
+/// @brief Reading time of the waiting works that go before it, milliseconds.
+double readingAhead(const Ledger &ledger, Milliseconds turn, double readingMs);
 
 /// @brief Enters a placement; it does not wait any longer. A work with that id that is known
 ///        already is left as it is.
--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -82,6 +82,13 @@
     return text[7] - '0';
 }
 
+bool isVersion(std::string_view text)
+{
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    return text.size() == 8 && text.substr(0, 5) == "HTTP/" && isDigit(text[5]) && text[6] == '.'
+        && isDigit(text[7]);
+}
+
 std::optional<std::uint64_t> decimal(std::string_view text)
 {
     std::uint64_t value = 0;
@@ -173,8 +180,8 @@
     head.target = target;
     head.minorVersion = minorVersionOf(line.substr(last + 1));
     if (head.minorVersion < 0) {
-        return tl::unexpected(line.substr(last + 1, 5) == "HTTP/" ? HeadProblem::VersionNotSupported
-                                                                  : HeadProblem::Malformed);
+        return tl::unexpected(isVersion(line.substr(last + 1)) ? HeadProblem::VersionNotSupported
+                                                               : HeadProblem::Malformed);
     }
     if (!parseFields(text, head.fields))
         return tl::unexpected(HeadProblem::Malformed);
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -55,20 +55,23 @@
         ledger.waiting[waiting.id] = waiting;
 }
 
-bool isFirstInLine(const Ledger &ledger, std::uint64_t id, Milliseconds turn)
+bool isFirstInLine(const Ledger &ledger, std::uint64_t id, Milliseconds turn, double readingMs)
 {
     return std::none_of(ledger.waiting.begin(), ledger.waiting.end(), [&](const auto &entry) {
         const WaitingWork &other = entry.second;
-        return other.id != id
+        return other.id != id && other.readingMs < passingFactor * readingMs
             && (other.turn < turn || (other.turn == turn && other.id < id));
     });
 }
 
-double readingAhead(const Ledger &ledger, Milliseconds turn)
+double readingAhead(const Ledger &ledger, Milliseconds turn, double readingMs)
 {
     double sum = 0;
-    for (const auto &[id, waiting] : ledger.waiting)
-        sum += waiting.turn < turn ? waiting.readingMs : 0;
+    for (const auto &[id, waiting] : ledger.waiting) {
+        const bool goesBefore
+            = waiting.turn < turn && waiting.readingMs < passingFactor * readingMs;
+        sum += goesBefore ? waiting.readingMs : 0;
+    }
     return sum;
 }
 
--- /dev/null
+++ b/tests/parts/fleet_configuration_test.cpp
@@ -0,0 +1,63 @@
+#include <doctest/doctest.h>
+
+#include <egretmount/fleet/configuration.h>
+
+using namespace egretmount;
+
+namespace {
+
+fleet::Route route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    fleet::Route made;
+    made.name = name;
+    made.host = host;
+    made.prefix = prefix;
+    made.shares = { { ServiceId("a"), 9 }, { ServiceId("b"), 1 } };
+    return made;
+}
+
+fleet::Configuration configuration()
+{
+    fleet::Configuration made;
+    made.routes = { route("short", "x.example", "/a/"), route("long", "x.example", "/a/b/"),
+                    route("other", "y.example", "/a/") };
+    made.teamsByKey["key-1"] = { TeamId("team"), 1 };
+    fleet::indexRoutes(made);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes is chosen")
+{
+    const fleet::Configuration made = configuration();
+    CHECK(fleet::findRoute(made, "x.example", "/a/b/c")->name == "long");
+    CHECK(fleet::findRoute(made, "X.Example:8080", "/a/c?/a/b/")->name == "short");
+    CHECK(fleet::findRoute(made, "y.example", "/a/b/c")->name == "other");
+}
+
+TEST_CASE("a prefix must begin the path itself, not the query")
+{
+    const fleet::Configuration made = configuration();
+    CHECK(fleet::findRoute(made, "x.example", "/?/a/") == nullptr);
+    CHECK(fleet::findRoute(made, "x.example", "/ab/") == nullptr);
+    CHECK(fleet::findRoute(made, "z.example", "/a/") == nullptr);
+}
+
+TEST_CASE("services are drawn by weight")
+{
+    const fleet::Route made = route("r", "h", "/");
+    CHECK(fleet::chooseService(made, 0.0).value == "a");
+    CHECK(fleet::chooseService(made, 0.89).value == "a");
+    CHECK(fleet::chooseService(made, 0.91).value == "b");
+    CHECK(fleet::chooseService(made, 0.9999).value == "b");
+}
+
+TEST_CASE("a key names its team")
+{
+    const fleet::Configuration made = configuration();
+    REQUIRE(fleet::findTeam(made, "key-1") != nullptr);
+    CHECK(fleet::findTeam(made, "key-1")->id.value == "team");
+    CHECK(fleet::findTeam(made, "") == nullptr);
+    CHECK(fleet::findTeam(made, "key") == nullptr);
+}
--- /dev/null
+++ b/tests/parts/fleet_target_table_test.cpp
@@ -0,0 +1,106 @@
+#include <doctest/doctest.h>
+
+#include <egretmount/fleet/target_table.h>
+
+using namespace egretmount;
+using namespace egretmount::literals;
+
+namespace {
+
+fleet::TargetEntry entry(const std::string &id, std::int64_t startedAt = 1)
+{
+    fleet::TargetEntry made;
+    made.id = TargetId(id);
+    made.service = ServiceId("s");
+    made.address = "10.0.0.1:80";
+    made.zone = ZoneId("z1");
+    made.startedAt = startedAt;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("another start stamp under the same id is a new run")
+{
+    fleet::TargetTable table;
+    CHECK(fleet::noteEntry(table, entry("a"), 0_ms));
+    CHECK_FALSE(fleet::noteEntry(table, entry("a"), 10_ms));
+    CHECK(fleet::noteEntry(table, entry("a", 2), 20_ms));
+}
+
+TEST_CASE("a target is cold for as long as its entry said when it was read")
+{
+    fleet::TargetTable table;
+    fleet::TargetEntry cold = entry("a");
+    cold.coldLeft = 300_ms;
+    fleet::noteEntry(table, cold, 100_ms);
+    CHECK(fleet::isCold(table.targets.at(TargetId("a")), 399_ms));
+    CHECK_FALSE(fleet::isCold(table.targets.at(TargetId("a")), 400_ms));
+}
+
+TEST_CASE("draining targets and those of an evacuated zone get nothing new")
+{
+    fleet::TargetTable table;
+    fleet::noteEntry(table, entry("a"), 0_ms);
+    const fleet::Target &target = table.targets.at(TargetId("a"));
+    CHECK(fleet::isUsable(table, target));
+    table.evacuated.insert(ZoneId("z1"));
+    CHECK_FALSE(fleet::isUsable(table, target));
+    table.evacuated.clear();
+    fleet::TargetEntry draining = entry("a");
+    draining.isDraining = true;
+    fleet::noteEntry(table, draining, 5_ms);
+    CHECK_FALSE(fleet::isUsable(table, target));
+}
+
+TEST_CASE("a draining target whose entry goes is gone at once")
+{
+    fleet::TargetTable table;
+    fleet::TargetEntry draining = entry("a");
+    draining.isDraining = true;
+    fleet::noteEntry(table, draining, 0_ms);
+    CHECK(fleet::noteRemoval(table, TargetId("a"), 10_ms));
+    CHECK(table.targets.empty());
+}
+
+TEST_CASE("a target that leaves unannounced is given up within the bound for leaving ones")
+{
+    fleet::TargetTable table;
+    fleet::noteEntry(table, entry("a"), 0_ms);
+    CHECK_FALSE(fleet::noteRemoval(table, TargetId("a"), 1'000_ms));
+    CHECK(fleet::dropUnlisted(table, 1'000_ms + fleet::unlistedGrace - 1_ms).empty());
+    CHECK(fleet::dropUnlisted(table, 1'000_ms + fleet::unlistedGrace).size() == 1);
+    // The bound is two seconds; hearing of the removal takes a part of it.
+    CHECK(fleet::unlistedGrace < 2'000_ms);
+}
+
+TEST_CASE("leases that lapsed during an outage of the registry do not empty a service")
+{
+    fleet::TargetTable table;
+    fleet::noteEntry(table, entry("a"), 0_ms);
+    fleet::noteEntry(table, entry("b"), 0_ms);
+    fleet::noteOutageEnd(table, 5'000_ms);
+    fleet::noteRemoval(table, TargetId("a"), 5'000_ms);
+    fleet::noteRemoval(table, TargetId("b"), 5'000_ms);
+    CHECK(fleet::dropUnlisted(table, 7'000_ms).empty());
+    fleet::noteEntry(table, entry("a"), 7'000_ms); // a lives and registers again
+    const std::vector<TargetId> dropped
+        = fleet::dropUnlisted(table, 5'000_ms + fleet::lapsedGrace);
+    REQUIRE(dropped.size() == 1);
+    CHECK(dropped[0].value == "b");
+    CHECK_FALSE(table.targets.at(TargetId("a")).isUnlisted);
+}
+
+TEST_CASE("a listing removes what it does not name")
+{
+    fleet::TargetTable table;
+    fleet::TargetEntry draining = entry("a");
+    draining.isDraining = true;
+    fleet::noteEntry(table, draining, 0_ms);
+    fleet::noteEntry(table, entry("b"), 0_ms);
+    const std::vector<TargetId> gone = fleet::noteListing(table, { entry("c") }, 10_ms);
+    REQUIRE(gone.size() == 1);
+    CHECK(gone[0].value == "a");
+    CHECK(table.targets.at(TargetId("b")).isUnlisted);
+    CHECK(table.targets.count(TargetId("c")) == 1);
+}
--- /dev/null
+++ b/tests/parts/http_body_test.cpp
@@ -0,0 +1,108 @@
+#include <doctest/doctest.h>
+
+#include <egretmount/http/body.h>
+#include <egretmount/http/event_scanner.h>
+
+using namespace egretmount;
+using http::BodyReader;
+using http::BodyState;
+using http::Framing;
+
+namespace {
+
+// Feeds a text byte by byte, as a slow peer would, and returns what came out.
+std::string readSlowly(BodyReader &reader, const std::string &text, std::string &rest)
+{
+    std::string input;
+    std::string output;
+    for (const char c : text) {
+        input.push_back(c);
+        http::readBody(reader, input, output);
+    }
+    rest = input;
+    return output;
+}
+
+} // namespace
+
+TEST_CASE("a body with a length leaves what follows it in the input")
+{
+    BodyReader reader = http::makeBodyReader({ Framing::Length, 5 });
+    std::string input = "helloGET / HTTP/1.1";
+    std::string output;
+    CHECK(http::readBody(reader, input, output) == BodyState::Complete);
+    CHECK(output == "hello");
+    CHECK(input == "GET / HTTP/1.1");
+}
+
+TEST_CASE("a chunked body is read whatever the pieces in which it arrives")
+{
+    BodyReader reader = http::makeBodyReader({ Framing::Chunked, 0 });
+    std::string rest;
+    CHECK(readSlowly(reader, "4;x=y\r\nwiki\r\n5\r\npedia\r\n0\r\nTrailer: 1\r\n\r\nnext", rest)
+          == "wikipedia");
+    CHECK(reader.state == BodyState::Complete);
+    CHECK(rest == "next");
+}
+
+TEST_CASE("broken chunks are found")
+{
+    for (const char *text : { "zz\r\n", "-1\r\n", "4\r\nwikiXX", "\r\n", "fffffffffffffffff\r\n" }) {
+        CAPTURE(text);
+        BodyReader reader = http::makeBodyReader({ Framing::Chunked, 0 });
+        std::string rest;
+        readSlowly(reader, text, rest);
+        CHECK(reader.state == BodyState::Malformed);
+    }
+}
+
+TEST_CASE("only a body that ends with the connection is completed by its end")
+{
+    BodyReader open = http::makeBodyReader({ Framing::UntilClose, 0 });
+    std::string input = "abc";
+    std::string output;
+    CHECK(http::readBody(open, input, output) == BodyState::Reading);
+    CHECK(http::endOfInput(open));
+
+    BodyReader cut = http::makeBodyReader({ Framing::Length, 5 });
+    input = "abc";
+    http::readBody(cut, input, output);
+    CHECK_FALSE(http::endOfInput(cut));
+
+    BodyReader chunked = http::makeBodyReader({ Framing::Chunked, 0 });
+    input = "3\r\nabc\r\n";
+    http::readBody(chunked, input, output);
+    CHECK_FALSE(http::endOfInput(chunked));
+}
+
+TEST_CASE("written chunks can be read back")
+{
+    std::string text;
+    http::appendChunk(text, std::string(300, 'a'));
+    http::appendChunk(text, "b");
+    text += http::lastChunk;
+    BodyReader reader = http::makeBodyReader({ Framing::Chunked, 0 });
+    std::string output;
+    CHECK(http::readBody(reader, text, output) == BodyState::Complete);
+    CHECK(output == std::string(300, 'a') + "b");
+    CHECK(text.empty());
+}
+
+TEST_CASE("a stream is passed on in whole events")
+{
+    http::EventScanner scanner;
+    CHECK(http::takeEvents(scanner, "id: 1\ndata: a\n").empty());
+    CHECK(http::takeEvents(scanner, "\nid: 2\r\ndata: b\r\n\r\nid: 3\nda")
+          == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+    CHECK(scanner.count == 2);
+    CHECK(scanner.lastId == "2");
+    CHECK(scanner.partial == "id: 3\nda");
+}
+
+TEST_CASE("an event without an id does not change where a stream is resumed")
+{
+    http::EventScanner scanner;
+    http::takeEvents(scanner, "id:7\ndata: x\n\n: comment\n\n");
+    CHECK(scanner.lastId == "7");
+    CHECK(scanner.count == 2);
+}
