--- a/apps/node/directory_service.cpp
+++ b/apps/node/directory_service.cpp
@@ -59,10 +59,11 @@
     std::vector<std::string> addresses;
     for (const std::string &host : m_peers->servingHosts())
         addresses.push_back(host + port);
-    // Beyond the limit each instance names a part that begins at itself, so all are named somewhere.
+    // Beyond the limit each instance names a part that begins at itself, so all are named
+    // somewhere.
     if (addresses.size() > maxAddresses) {
-        const auto own = std::lower_bound(addresses.begin(), addresses.end(),
-                                          settings.callerAddress);
+        const auto own =
+            std::lower_bound(addresses.begin(), addresses.end(), settings.callerAddress);
         std::rotate(addresses.begin(), own, addresses.end());
         addresses.resize(maxAddresses);
     }
--- a/apps/node/directory_service.h
+++ b/apps/node/directory_service.h
@@ -11,7 +11,9 @@
 class PeerService;
 
 /// @brief Tells callers which instances to use, and the platform whether this one is ready.
-class DirectoryService : public kernel::Service, public net::RequestHandler
+class DirectoryService
+    : public kernel::Service
+    , public net::RequestHandler
 {
 public:
     static constexpr std::string_view serviceName = "directory";
@@ -25,8 +27,8 @@
     void setStopping() { m_isStopping = true; }
 
 private:
-    void onRequest(const std::shared_ptr<net::ServerConnection> &connection,
-                   http::RequestHead head, std::string body) override;
+    void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
+                   std::string body) override;
     std::string directoryAnswer() const;
 
     net::Reactor &m_reactor;
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -88,8 +88,9 @@
         answerNotRun("service-unknown", unknownConfigurationDelay);
         return;
     }
-    Milliseconds life = m_route->timeout > Milliseconds() ? m_route->timeout
-                                                          : m_caller.deadline.value_or(Milliseconds(10'000));
+    Milliseconds life = m_route->timeout > Milliseconds()
+                            ? m_route->timeout
+                            : m_caller.deadline.value_or(Milliseconds(10'000));
     if (m_caller.deadline)
         life = std::min(life, *m_caller.deadline);
     m_endsAt = m_arrivedAt + life;
@@ -239,13 +240,14 @@
         fields.resumeAfter = m_scanner.lastId;
     m_scanner.partial.clear();
     m_buffer.clear();
-    LOG(INFO) << "placement: sent id=" << m_caller.requestId << " target=" << placement.target.id.value
-              << " helpers=" << joined(placement.helpers) << " part_ms=" << placement.partMs
-              << " tokens=" << m_caller.promptTokens << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
-              << " expected_ms=" << placement.expectedMs
-              << " left_ms=" << fields.timeLeft.count() << " sends=" << m_history.sends
-              << " config=" << m_configuration->version;
-    const bool mustBeFresh = m_route->repetition == fleet::Repetition::AtMostOnce
+    LOG(INFO) << "placement: sent id=" << m_caller.requestId
+              << " target=" << placement.target.id.value << " helpers=" << joined(placement.helpers)
+              << " part_ms=" << placement.partMs << " tokens=" << m_caller.promptTokens
+              << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
+              << " expected_ms=" << placement.expectedMs << " left_ms=" << fields.timeLeft.count()
+              << " sends=" << m_history.sends << " config=" << m_configuration->version;
+    const bool mustBeFresh =
+        m_route->repetition == fleet::Repetition::AtMostOnce
         || (m_route->repetition == fleet::Repetition::Stream && !m_route->isResumable);
     m_sentAt = m_lastEventAt = m_services.reactor.now();
     m_send.start(placement.target,
@@ -264,8 +266,8 @@
 {
     m_reportedInHand = inHand;
     m_answerHead = std::move(head);
-    m_isEventStream
-        = m_route->repetition == fleet::Repetition::Stream && m_answerHead.status == 200;
+    m_isEventStream =
+        m_route->repetition == fleet::Repetition::Stream && m_answerHead.status == 200;
     m_buffer.clear();
 }
 
@@ -359,8 +361,8 @@
 
 void Exchange::passBuffered()
 {
-    m_connection->answer(m_fallbackHead.status, m_fallbackHead.reason,
-                         answerFields(m_fallbackHead), m_fallbackBody);
+    m_connection->answer(m_fallbackHead.status, m_fallbackHead.reason, answerFields(m_fallbackHead),
+                         m_fallbackBody);
     finish(m_fallbackHead.status, "target-failure-passed-on");
 }
 
@@ -387,7 +389,7 @@
     // Only what reached a target before counts as a repeat.
     const bool isRepeat = m_history.sends > 0;
     const bool isAllowed = isSendAgain && timeLeft() > Milliseconds()
-        && (!isRepeat || m_services.ingress.takeRepeat(m_service->id));
+                           && (!isRepeat || m_services.ingress.takeRepeat(m_service->id));
     LOG(INFO) << "exchange: send failed id=" << m_caller.requestId
               << " target=" << m_placement.target.id.value << " failure=" << nameOf(failure)
               << " reused=" << m_send.isReused() << " sends=" << m_history.sends
@@ -427,13 +429,14 @@
     if (m_placement.work == 0)
         return quiet > plainSilenceShare * static_cast<double>((m_endsAt - m_arrivedAt).count());
     const TargetHealth &health = m_services.targets.health(keyOf(m_placement.target.id));
-    const double unheard
-        = static_cast<double>((now - std::max(health.lastHeard, m_sentAt)).count());
-    const double least = m_isWriting ? silentPauses * static_cast<double>(m_route->pauseTarget.count())
-                                     : silentEstimates * m_placement.expectedMs;
+    const double unheard =
+        static_cast<double>((now - std::max(health.lastHeard, m_sentAt)).count());
+    const double least = m_isWriting
+                             ? silentPauses * static_cast<double>(m_route->pauseTarget.count())
+                             : silentEstimates * m_placement.expectedMs;
     // A target that reads long prompts sends nothing meanwhile.
     const double allowed = std::max(least, static_cast<double>(silentTarget.count()))
-        + m_services.placement.readingBacklog(m_placement.target.id);
+                           + m_services.placement.readingBacklog(m_placement.target.id);
     return unheard > allowed && quiet > allowed;
 }
 
@@ -561,17 +564,18 @@
     m_services.reactor.cancel(m_endTimer);
     m_services.reactor.cancel(m_silenceTimer);
     const Milliseconds now = m_services.reactor.now();
-    const Milliseconds first
-        = m_firstEventAt > Milliseconds() ? m_firstEventAt - m_arrivedAt : Milliseconds();
+    const Milliseconds first =
+        m_firstEventAt > Milliseconds() ? m_firstEventAt - m_arrivedAt : Milliseconds();
     LOG(INFO) << "exchange: ended id=" << m_caller.requestId
               << " route=" << (m_route != nullptr ? m_route->name : "none")
               << " team=" << m_team.value << " status=" << status << " outcome=" << outcome
-              << " verdict=\"" << nameOf(limits::verdictOf(m_history)) << "\" sends=" << m_history.sends
-              << " events=" << m_scanner.count << " first_ms=" << first.count()
-              << " expected_ms=" << m_placement.expectedMs
-              << " longest_pause_ms=" << m_longestPause.count() << " total_ms=" << (now - m_arrivedAt).count();
+              << " verdict=\"" << nameOf(limits::verdictOf(m_history))
+              << "\" sends=" << m_history.sends << " events=" << m_scanner.count
+              << " first_ms=" << first.count() << " expected_ms=" << m_placement.expectedMs
+              << " longest_pause_ms=" << m_longestPause.count()
+              << " total_ms=" << (now - m_arrivedAt).count();
     const std::shared_ptr<Exchange> self = weak_from_this().lock();
-    m_services.reactor.defer([self] { });
+    m_services.reactor.defer([self] {});
     m_services.ingress.forget(*this);
 }
 
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -28,7 +28,9 @@
 };
 
 /// @brief One request of a caller, from its whole arrival to its final answer.
-class Exchange : public std::enable_shared_from_this<Exchange>, private SendListener
+class Exchange
+    : public std::enable_shared_from_this<Exchange>
+    , private SendListener
 {
 public:
     Exchange(const ExchangeServices &services, std::shared_ptr<net::ServerConnection> connection,
--- a/apps/node/fleet_service.cpp
+++ b/apps/node/fleet_service.cpp
@@ -42,6 +42,21 @@
     return target == m_table.targets.end() ? nullptr : &target->second;
 }
 
+void FleetService::applyChanges(const std::vector<platform::RegistryChange> &changes)
+{
+    std::vector<TargetId> removed;
+    for (const platform::RegistryChange &change : changes) {
+        if (const auto *removal = std::get_if<platform::TargetRemoved>(&change))
+            removed.push_back(removal->id);
+    }
+    if (fleet::looksLikeLapse(m_table, removed)) {
+        LOG(WARNING) << "fleet: leases have lapsed targets=" << removed.size();
+        fleet::noteOutageEnd(m_table, m_reactor.now());
+    }
+    for (const platform::RegistryChange &change : changes)
+        apply(change);
+}
+
 void FleetService::apply(const platform::RegistryChange &change)
 {
     if (const auto *written = std::get_if<platform::TargetWritten>(&change))
--- a/apps/node/fleet_service.h
+++ b/apps/node/fleet_service.h
@@ -39,8 +39,8 @@
     /// @brief The target with that key. @return Null if it is not known.
     const fleet::Target *targetWithKey(placement::EngineKey key) const;
 
-    /// @brief Takes in a change of the platform's store.
-    void apply(const platform::RegistryChange &change);
+    /// @brief Takes in changes of the platform's store, in order.
+    void applyChanges(const std::vector<platform::RegistryChange> &changes);
 
     /// @brief Takes in a whole listing of the platform's store.
     void applyListing(const std::vector<platform::RegistryChange> &changes);
@@ -55,6 +55,7 @@
     }
 
 private:
+    void apply(const platform::RegistryChange &change);
     void applyConfiguration(fleet::Configuration configuration);
     void applyEvacuation(const platform::EvacuationChanged &change);
     void noteEntry(const fleet::TargetEntry &entry);
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -33,11 +33,11 @@
     m_peers = &m_registry.find<PeerService>();
     m_placement = &m_registry.find<PlacementService>();
     m_targets = &m_registry.find<TargetPool>();
-    m_listener = net::Listener::open(m_reactor, m_fleet->settings().callerAddress,
-                                     [this](const Poco::Net::StreamSocket &socket) {
-                                         m_connections.push_back(net::ServerConnection::serve(
-                                             m_reactor, socket, *this));
-                                     });
+    m_listener = net::Listener::open(
+        m_reactor, m_fleet->settings().callerAddress,
+        [this](const Poco::Net::StreamSocket &socket) {
+            m_connections.push_back(net::ServerConnection::serve(m_reactor, socket, *this));
+        });
     m_reactor.every(connectionSweep, [this] {
         m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
                                            [](const std::weak_ptr<net::ServerConnection> &weak) {
@@ -68,8 +68,7 @@
 
 void IngressService::noteRequest(const ServiceId &service)
 {
-    limits::noteRequest(m_budgets[service.value], m_fleet->settings().retryBound,
-                        m_reactor.now());
+    limits::noteRequest(m_budgets[service.value], m_fleet->settings().retryBound, m_reactor.now());
 }
 
 bool IngressService::takeRepeat(const ServiceId &service)
@@ -102,9 +101,9 @@
         LOG(INFO) << "ingress: refused status=503 reason=\"stopping\"";
         return;
     }
-    const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
-        ExchangeServices { m_reactor, *m_placement, *m_targets, *this }, connection,
-        std::move(head), std::move(body));
+    const std::shared_ptr<Exchange> exchange =
+        std::make_shared<Exchange>(ExchangeServices { m_reactor, *m_placement, *m_targets, *this },
+                                   connection, std::move(head), std::move(body));
     m_exchanges.emplace(exchange.get(), exchange);
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
     exchange->start(m_fleet->configuration(), draw);
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -19,7 +19,9 @@
 class TargetPool;
 
 /// @brief Takes the callers' requests and keeps their exchanges until they end.
-class IngressService : public kernel::Service, public net::RequestHandler
+class IngressService
+    : public kernel::Service
+    , public net::RequestHandler
 {
 public:
     static constexpr std::string_view serviceName = "ingress";
@@ -55,8 +57,8 @@
     void forget(const Exchange &exchange);
 
 private:
-    void onRequest(const std::shared_ptr<net::ServerConnection> &connection,
-                   http::RequestHead head, std::string body) override;
+    void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
+                   std::string body) override;
     fleet::CallerLimits limits() const override;
     bool isStopping() const override { return m_isStopping; }
 
--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -77,8 +77,8 @@
     node::LogSink sink;
     node::startLogging(argv[0], sink);
     const std::string path = FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings;
-    const tl::expected<fleet::InstanceSettings, std::string> settings
-        = platform::readSettings(path);
+    const tl::expected<fleet::InstanceSettings, std::string> settings =
+        platform::readSettings(path);
     if (!settings) {
         std::cerr << settings.error() << '\n';
         return kernel::exitBadSettings;
--- a/apps/node/memory_tickets.cpp
+++ b/apps/node/memory_tickets.cpp
@@ -39,27 +39,29 @@
 {
     const MemoryTicket &ticket = m_tickets[index];
     const std::string body = isRelease
-        ? platform::releaseBody(ticket.name)
-        : platform::reserveBody(ticket.name, ticket.tokens, holdTime);
+                                 ? platform::releaseBody(ticket.name)
+                                 : platform::reserveBody(ticket.name, ticket.tokens, holdTime);
     const std::weak_ptr<MemoryTickets> weak = weak_from_this();
-    m_callers[index]->post(
-        std::string(platform::orderPath()), body, answerTime,
-        [weak, index, isRelease](int status, const std::string &) {
-            const std::shared_ptr<MemoryTickets> self = weak.lock();
-            if (!self)
-                return;
-            const bool isDone = platform::outcomeOf(status) == platform::OrderOutcome::Done;
-            LOG(INFO) << "tickets: " << (isRelease ? "release" : "reserve")
-                      << " ticket=" << self->m_tickets[index].name
-                      << " tokens=" << self->m_tickets[index].tokens << " status=" << status;
-            // Answers are handled in a turn of their own: they may destroy the caller.
-            self->m_reactor.defer([self, index, isRelease, isDone] {
-                if (isRelease)
-                    self->onReleased(index, isDone);
-                else
-                    self->onReserved(index, isDone);
-            });
-        });
+    m_callers[index]->post(std::string(platform::orderPath()), body, answerTime,
+                           [weak, index, isRelease](int status, const std::string &) {
+                               const std::shared_ptr<MemoryTickets> self = weak.lock();
+                               if (!self)
+                                   return;
+                               const bool isDone =
+                                   platform::outcomeOf(status) == platform::OrderOutcome::Done;
+                               LOG(INFO) << "tickets: " << (isRelease ? "release" : "reserve")
+                                         << " ticket=" << self->m_tickets[index].name
+                                         << " tokens=" << self->m_tickets[index].tokens
+                                         << " status=" << status;
+                               // Answers are handled in a turn of their own: they may destroy the
+                               // caller.
+                               self->m_reactor.defer([self, index, isRelease, isDone] {
+                                   if (isRelease)
+                                       self->onReleased(index, isDone);
+                                   else
+                                       self->onReserved(index, isDone);
+                               });
+                           });
 }
 
 void MemoryTickets::onReserved(std::size_t index, bool isDone)
@@ -119,7 +121,7 @@
         LOG(WARNING) << "tickets: not released, lapses by itself ticket=" << m_tickets[index].name;
     }
     if (++m_releases == m_tickets.size())
-        m_reactor.defer([self = std::move(m_self)] { });
+        m_reactor.defer([self = std::move(m_self)] {});
 }
 
 } // namespace egretmount::node
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -7,7 +7,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <glog/logging.h>
 
 #include "fleet_service.h"
@@ -23,9 +23,13 @@
 // A placement is told at once: another one may follow within milliseconds. First events and ends
 // only correct estimates and wait for company.
 constexpr Milliseconds placedDelay = Milliseconds(0);
+// Longer with many instances, as each message goes to all of them.
 constexpr Milliseconds progressDelay = Milliseconds(20);
+constexpr Milliseconds progressDelayPerInstance = Milliseconds(2);
 // All own work is stated this often; makes good what datagrams lost.
 constexpr Milliseconds statementInterval = Milliseconds(1'000);
+// With many instances, every so many statements only.
+constexpr std::size_t instancesPerStatement = 30;
 // A starting instance makes itself known this often, so many times: the others may start as well.
 constexpr Milliseconds introductionInterval = Milliseconds(60);
 constexpr int introductions = 10;
@@ -37,11 +41,13 @@
 // How long other instances keep off a target that does not answer here.
 constexpr Milliseconds distrustLife = Milliseconds(1'000);
 
+// Packed: most words of a message are partly zero, and bytes between zones are paid for.
 std::string serialized(capnp::MallocMessageBuilder &message)
 {
-    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-    const kj::ArrayPtr<const char> bytes = words.asChars();
-    return std::string(bytes.begin(), bytes.size());
+    kj::VectorOutputStream output;
+    capnp::writePackedMessage(output, message);
+    const kj::ArrayPtr<const kj::byte> bytes = output.getArray();
+    return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
 }
 
 void writeWork(wire::PlacedWork::Builder out, const placement::Work &work, Milliseconds now)
@@ -61,7 +67,8 @@
     out.setWeight(static_cast<float>(work.weight));
     out.setPauseTargetMs(static_cast<std::uint32_t>(work.pauseTarget.count()));
     out.setAgeMs(static_cast<std::uint32_t>((now - work.placedAt).count()));
-    out.setLifeMs(static_cast<std::uint32_t>(std::max<std::int64_t>((work.expiresAt - now).count(), 0)));
+    out.setLifeMs(
+        static_cast<std::uint32_t>(std::max<std::int64_t>((work.expiresAt - now).count(), 0)));
     out.setIsWriting(work.isWriting);
     out.setIsShort(work.isShort);
     out.setLatencyTargetMs(static_cast<std::uint32_t>(work.latencyTarget.count()));
@@ -74,8 +81,8 @@
     out.setId(waiting.id);
     out.setReadingMs(static_cast<float>(waiting.readingMs));
     out.setTurnInMs(static_cast<std::int32_t>((waiting.turn - now).count()));
-    out.setLifeMs(static_cast<std::uint32_t>(
-        std::max<std::int64_t>((waiting.expiresAt - now).count(), 0)));
+    out.setLifeMs(
+        static_cast<std::uint32_t>(std::max<std::int64_t>((waiting.expiresAt - now).count(), 0)));
 }
 
 placement::WaitingWork readWaiting(wire::WaitingWork::Reader in, const std::string &owner,
@@ -143,7 +150,8 @@
         try {
             m_socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), to);
         } catch (const Poco::Exception &error) {
-            // A lost datagram is made good by the next statement; a full link is not worth a line each.
+            // A lost datagram is made good by the next statement; a full link is not worth a line
+            // each.
             VLOG(1) << "peers: cannot send to=" << to.toString() << " reason=\""
                     << error.displayText() << '"';
         }
@@ -171,7 +179,7 @@
 private:
     PeerService &m_service;
     Poco::Net::DatagramSocket m_socket;
-    alignas(capnp::word) std::array<char, maxDatagram> m_buffer {};
+    std::array<char, maxDatagram> m_buffer {};
 };
 
 PeerService::PeerService(net::Reactor &reactor, kernel::Registry &registry)
@@ -190,13 +198,13 @@
     m_targets = &m_registry.find<TargetPool>();
     const fleet::InstanceSettings &settings = m_fleet->settings();
     m_roster.self.host = settings.host;
-    m_roster.self.incarnation = static_cast<Incarnation>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
+    m_roster.self.incarnation =
+        static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                     std::chrono::system_clock::now().time_since_epoch())
+                                     .count());
     m_roster.contacts = settings.contacts;
-    m_socket = std::make_shared<Socket>(
-        *this, settings.host + ':' + std::to_string(settings.firstPeerPort));
+    m_socket = std::make_shared<Socket>(*this, settings.host + ':'
+                                                   + std::to_string(settings.firstPeerPort));
     m_reactor.watch(m_socket->socket(), Poco::Net::PollSet::POLL_READ, m_socket);
     m_startedAt = m_reactor.now();
     refreshLiving();
@@ -237,13 +245,19 @@
                               std::optional<int> inHand)
 {
     m_writing.push_back({ id, target, inHand });
-    scheduleFlush(progressDelay);
+    scheduleFlush(delayOfProgress());
+}
+
+Milliseconds PeerService::delayOfProgress() const
+{
+    return std::max(progressDelay,
+                    progressDelayPerInstance * static_cast<std::int64_t>(m_living.size()));
 }
 
 void PeerService::tellEnded(std::uint64_t id)
 {
     m_ended.push_back(id);
-    scheduleFlush(progressDelay);
+    scheduleFlush(delayOfProgress());
 }
 
 void PeerService::tellDistrust(placement::EngineKey target)
@@ -263,7 +277,7 @@
 {
     const Milliseconds now = m_reactor.now();
     return now - m_startedAt >= longestSettling
-        || (m_living.size() > 1 && now - m_firstHeardAt >= settlingTime);
+           || (m_living.size() > 1 && now - m_firstHeardAt >= settlingTime);
 }
 
 std::vector<std::string> PeerService::servingHosts() const
@@ -323,6 +337,8 @@
 
 void PeerService::sendStatement()
 {
+    if (++m_statements % (1 + m_living.size() / instancesPerStatement) != 0)
+        return;
     sendToAll(statement());
 }
 
@@ -387,20 +403,16 @@
 
 void PeerService::receive(const std::string &sender, const char *data, std::size_t size)
 {
-    if (size % sizeof(capnp::word) != 0) {
-        LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " bytes=" << size;
-        return;
-    }
     const Milliseconds now = m_reactor.now();
     try {
-        capnp::FlatArrayMessageReader message(kj::arrayPtr(
-            reinterpret_cast<const capnp::word *>(data), size / sizeof(capnp::word)));
+        kj::ArrayInputStream input(kj::arrayPtr(reinterpret_cast<const kj::byte *>(data), size));
+        capnp::PackedMessageReader message(input);
         const wire::News::Reader news = message.getRoot<wire::News>();
         const std::string host = news.getSender();
         std::vector<membership::RosterEntry> digest;
         for (const wire::RosterEntry::Reader entry : news.getRoster())
-            digest.push_back({ entry.getHost(), entry.getIncarnation(), entry.getBeat(),
-                               entry.getIsLeaving() });
+            digest.push_back(
+                { entry.getHost(), entry.getIncarnation(), entry.getBeat(), entry.getIsLeaving() });
         const std::vector<std::string> changed = membership::noteDigest(m_roster, digest, now);
         for (const std::string &newRun : changed)
             m_placement->forgetOwner(newRun);
@@ -435,7 +447,8 @@
             m_placement->keepStated(host, stated);
         }
         for (const wire::Distrust::Reader distrust : news.getDistrusted())
-            m_targets->distrustUntil(distrust.getTarget(), now + Milliseconds(distrust.getLeftMs()));
+            m_targets->distrustUntil(distrust.getTarget(),
+                                     now + Milliseconds(distrust.getLeftMs()));
         m_sync->noteLaterRevision(news.getRegistryRevision());
     } catch (const kj::Exception &error) {
         LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " reason=\""
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -39,10 +39,7 @@
     void stop() override;
 
     /// @brief Takes in other first addresses.
-    void setContacts(std::vector<std::string> contacts)
-    {
-        m_roster.contacts = std::move(contacts);
-    }
+    void setContacts(std::vector<std::string> contacts) { m_roster.contacts = std::move(contacts); }
 
     /// @brief Tells the other instances at once that this one leaves.
     void announceLeaving();
@@ -86,6 +83,7 @@
     std::string statement();
     void flush();
     void scheduleFlush(Milliseconds delay);
+    Milliseconds delayOfProgress() const;
     void sendToAll(const std::string &datagram);
     void send(const std::string &host, const std::string &datagram);
     void refreshLiving();
@@ -107,6 +105,7 @@
     Milliseconds m_startedAt;
     Milliseconds m_firstHeardAt;
     int m_introductions = 0;
+    std::size_t m_statements = 0;
     net::TimerId m_flushTimer = 0;
     std::mt19937_64 m_random;
 };
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -65,8 +65,7 @@
     m_fleet = &m_registry.find<FleetService>();
     m_peers = &m_registry.find<PeerService>();
     m_targets = &m_registry.find<TargetPool>();
-    m_reactor.every(ledgerSweep,
-                    [this] { placement::removeExpired(m_ledger, m_reactor.now()); });
+    m_reactor.every(ledgerSweep, [this] { placement::removeExpired(m_ledger, m_reactor.now()); });
 }
 
 std::vector<const fleet::Target *>
@@ -107,9 +106,9 @@
     if (fleet::isCold(target, m_reactor.now())) {
         candidate.penalty += coldPenalty;
         candidate.mayHelp = false;
-        candidate.mayReceive
-            = limits::coldShare(target.entry.id, service.coldRequestsPerSecond,
-                                InstanceId(m_fleet->settings().host), m_peers->living())
+        candidate.mayReceive =
+            limits::coldShare(target.entry.id, service.coldRequestsPerSecond,
+                              InstanceId(m_fleet->settings().host), m_peers->living())
             > 0;
     }
     candidate.penalty *= weight;
@@ -119,18 +118,17 @@
 placement::Outlook PlacementService::outlook() const
 {
     // Callers spread over the instances at random, so each one sees its share of the demand. What
-    // is known to be in hand bounds the estimate from below; requests that were refused are missing there.
-    const double inHand = static_cast<double>(
-        std::count_if(m_ledger.works.begin(), m_ledger.works.end(), [&](const auto &entry) {
-            return entry.second.isShort;
-        }));
+    // is known to be in hand bounds the estimate from below; requests that were refused are missing
+    // there.
+    const double inHand =
+        static_cast<double>(std::count_if(m_ledger.works.begin(), m_ledger.works.end(),
+                                          [&](const auto &entry) { return entry.second.isShort; }));
     const double expected = placement::expectedInHand(m_shortDemand, m_reactor.now())
-        * static_cast<double>(m_peers->servingHosts().size());
+                            * static_cast<double>(m_peers->servingHosts().size());
     return { std::max(inHand, (inHand + expected) / 2) };
 }
 
-Decision PlacementService::placePrompt(const fleet::ServiceSpec &service,
-                                       placement::Demand demand,
+Decision PlacementService::placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
                                        const std::set<TargetId> &excluded, Milliseconds life,
                                        std::uint64_t work, bool hasRun)
 {
@@ -140,30 +138,30 @@
         placement::noteArrival(m_shortDemand, 1, now);
     demand.mayWait = !hasRun;
     const bool hasTurn = m_peers->isSettled()
-        && placement::isFirstInLine(m_ledger, work, turnOf(service, demand),
-                                    placement::partReadingTime(*service.engine,
-                                                               demand.promptTokens, 1));
+                         && placement::isFirstInLine(
+                             m_ledger, work, turnOf(service, demand),
+                             placement::partReadingTime(*service.engine, demand.promptTokens, 1));
     if (!isShort && !hasRun && work == 0) {
         const placement::LongLane lane = longLane(service, demand);
         if (!placement::isWorthTaking(*service.engine, lane, demand))
-            return Refusal { RefusalReason::Overloaded,
-                             roundedUp(placement::expectedWait(
-                                 lane, placement::partReadingTime(*service.engine,
-                                                                  demand.promptTokens, 1))) };
+            return Refusal {
+                RefusalReason::Overloaded,
+                roundedUp(placement::expectedWait(
+                    lane, placement::partReadingTime(*service.engine, demand.promptTokens, 1)))
+            };
     }
     if (!isShort && !hasRun && !hasTurn)
         return wait(service, demand, life, work);
     std::set<TargetId> unavailable = excluded;
     while (true) {
-        const std::vector<const fleet::Target *> targets
-            = usableTargets(service.id, unavailable);
+        const std::vector<const fleet::Target *> targets = usableTargets(service.id, unavailable);
         if (targets.empty())
             return Refusal { RefusalReason::NoTarget, noTargetDelay };
         std::vector<placement::Candidate> candidates;
         for (const fleet::Target *target : targets)
             candidates.push_back(candidateOf(*target, service, demand.weight));
-        const std::optional<placement::Plan> plan = placement::planPlacement(
-            m_ledger, *service.engine, candidates, demand, outlook(), now);
+        const std::optional<placement::Plan> plan =
+            placement::planPlacement(m_ledger, *service.engine, candidates, demand, outlook(), now);
         if (!plan) {
             LOG(INFO) << "placement: no place service=" << service.id.value
                       << " tokens=" << demand.promptTokens << " usable=" << targets.size()
@@ -177,8 +175,8 @@
         }
         const double latest = patienceShare * static_cast<double>(demand.patience.count());
         if (!hasRun && plan->firstEventMs > latest) {
-            const double after = plan->firstEventMs
-                - static_cast<double>(demand.latencyTarget.count());
+            const double after =
+                plan->firstEventMs - static_cast<double>(demand.latencyTarget.count());
             return Refusal { RefusalReason::TooLate, roundedUp(after) };
         }
         if (plan->startMs > startTolerance)
@@ -203,7 +201,7 @@
     for (const fleet::Target *target : targets)
         lane.backlogMs += readingBacklog(target->entry.id);
     lane.demand = placement::currentRate(m_longReading, m_reactor.now())
-        / (1'000.0 * std::max(lane.engines, 1));
+                  / (1'000.0 * std::max(lane.engines, 1));
     lane.waitingMs = placement::readingAhead(
         m_ledger, turnOf(service, demand),
         placement::partReadingTime(*service.engine, demand.promptTokens, 1));
@@ -213,9 +211,8 @@
 Milliseconds PlacementService::turnOf(const fleet::ServiceSpec &service,
                                       const placement::Demand &demand) const
 {
-    return placement::turnOf(
-        m_reactor.now() - demand.waited,
-        placement::partReadingTime(*service.engine, demand.promptTokens, 1));
+    return placement::turnOf(m_reactor.now() - demand.waited,
+                             placement::partReadingTime(*service.engine, demand.promptTokens, 1));
 }
 
 Waiting PlacementService::wait(const fleet::ServiceSpec &service, const placement::Demand &demand,
@@ -286,8 +283,8 @@
         const placement::Candidate candidate = candidateOf(*target, service, 1);
         if (!candidate.mayReceive)
             continue;
-        const double load = static_cast<double>(m_targets->health(candidate.key).inHand)
-            / target->entry.slots;
+        const double load =
+            static_cast<double>(m_targets->health(candidate.key).inHand) / target->entry.slots;
         const double cost = load + candidate.penalty + tie(m_random);
         if (best == nullptr || cost < bestCost) {
             best = target;
@@ -343,9 +340,8 @@
 void PlacementService::noteLongReading(const placement::Work &work)
 {
     if (!work.isShort) {
-        placement::noteArrival(m_longReading,
-                               work.partMs * static_cast<double>(work.engines.size()),
-                               m_reactor.now());
+        placement::noteArrival(
+            m_longReading, work.partMs * static_cast<double>(work.engines.size()), m_reactor.now());
     }
 }
 
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -80,8 +80,8 @@
     /// @param hasRun It was sent before: place it even if its first event will be too late, as a
     ///        refusal would no longer be true.
     Decision placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
-                         const std::set<TargetId> &excluded, Milliseconds life,
-                         std::uint64_t work, bool hasRun);
+                         const std::set<TargetId> &excluded, Milliseconds life, std::uint64_t work,
+                         bool hasRun);
 
     /// @brief Places a request without a prompt.
     Decision placePlain(const fleet::ServiceSpec &service, const std::set<TargetId> &excluded);
@@ -118,8 +118,8 @@
 private:
     std::vector<const fleet::Target *> usableTargets(const ServiceId &service,
                                                      const std::set<TargetId> &excluded) const;
-    placement::Candidate candidateOf(const fleet::Target &target,
-                                     const fleet::ServiceSpec &service, double weight) const;
+    placement::Candidate candidateOf(const fleet::Target &target, const fleet::ServiceSpec &service,
+                                     double weight) const;
 
     net::Reactor &m_reactor;
     kernel::Registry &m_registry;
--- a/apps/node/registry_sync.cpp
+++ b/apps/node/registry_sync.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include <egretmount/core/hash.h>
+
 #include "fleet_service.h"
 #include "peer_service.h"
 
@@ -15,6 +17,11 @@
 // the call's time-out: early enough for the bound on configurations after an outage.
 constexpr Milliseconds watchTime = Milliseconds(2'500);
 
+// With many instances, a few watch in such short turns and the others in long ones: all hear of
+// each other's state of the store with every message, and one that is behind asks at once.
+constexpr Milliseconds longWatchTime = Milliseconds(12'000);
+constexpr std::size_t shortWatchers = 5;
+
 // Changes come in groups; a short pause before the next watch collects them in one answer. The
 // pause grows with the number of instances, as all of them ask after each change.
 constexpr Milliseconds pausePerInstance = Milliseconds(15);
@@ -54,7 +61,7 @@
     if (m_behindSince == Milliseconds())
         m_behindSince = now;
     const bool isStuck = m_isWatching && m_failures == 0
-        && now - std::max(m_behindSince, m_watchStarted) > stuckAfter;
+                         && now - std::max(m_behindSince, m_watchStarted) > stuckAfter;
     if (!isStuck)
         return;
     m_behindSince = Milliseconds();
@@ -103,7 +110,7 @@
     m_isWatching = true;
     m_watchStarted = m_reactor.now();
     // While the store fails, a call that does not wait finds out soonest that it is back.
-    const Milliseconds wait = m_failures > 0 ? Milliseconds() : watchTime;
+    const Milliseconds wait = m_failures > 0 ? Milliseconds() : waitOfWatch();
     m_client.watch(m_revision, wait,
                    [this](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
                        onChanges(std::move(page));
@@ -118,8 +125,7 @@
         return;
     }
     noteAnswer();
-    for (const platform::RegistryChange &change : page->changes)
-        m_fleet->apply(change);
+    m_fleet->applyChanges(page->changes);
     m_revision = std::max(m_revision, page->revision);
     if (page->changes.empty()) {
         watch();
@@ -128,6 +134,17 @@
     m_reactor.after(pauseBetweenWatches(), [this] { watch(); });
 }
 
+Milliseconds RegistrySync::waitOfWatch() const
+{
+    const std::vector<InstanceId> &living = m_peers->living();
+    const std::uint64_t own = stableHash(m_fleet->settings().host);
+    const std::size_t ahead = static_cast<std::size_t>(
+        std::count_if(living.begin(), living.end(), [&](const InstanceId &instance) {
+            return stableHash(instance.value) < own;
+        }));
+    return ahead < shortWatchers ? watchTime : longWatchTime;
+}
+
 Milliseconds RegistrySync::pauseBetweenWatches() const
 {
     const std::int64_t instances = static_cast<std::int64_t>(m_peers->livingCount());
--- a/apps/node/registry_sync.h
+++ b/apps/node/registry_sync.h
@@ -35,6 +35,7 @@
     void noteFailure(platform::StoreFailure failure);
     void noteAnswer();
     void retry();
+    Milliseconds waitOfWatch() const;
     Milliseconds pauseBetweenWatches() const;
 
     net::Reactor &m_reactor;
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -123,8 +123,8 @@
     if (!isSilent)
         return;
     const int doublings = std::min(health.failuresInRow - 1, 4);
-    const Milliseconds time = std::min(firstDistrust * (std::int64_t(1) << doublings),
-                                       longestDistrust);
+    const Milliseconds time =
+        std::min(firstDistrust * (std::int64_t(1) << doublings), longestDistrust);
     health.distrustedUntil = std::max(health.distrustedUntil, m_reactor.now() + time);
     LOG(INFO) << "targets: distrusted target=" << target << " failures=" << health.failuresInRow
               << " for_ms=" << time.count();
@@ -151,9 +151,8 @@
 void TargetPool::closeExpired()
 {
     for (auto position = m_idle.begin(); position != m_idle.end();) {
-        position->second.remove_if([this](const std::shared_ptr<Idle> &idle) {
-            return !idle->isUsable(m_reactor.now());
-        });
+        position->second.remove_if(
+            [this](const std::shared_ptr<Idle> &idle) { return !idle->isUsable(m_reactor.now()); });
         position = position->second.empty() ? m_idle.erase(position) : std::next(position);
     }
 }
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -90,10 +90,10 @@
             fail(limits::SendFailure::Broken);
         return false;
     }
-    tl::expected<http::ResponseHead, http::HeadProblem> head
-        = http::parseResponseHead(std::string_view(input).substr(0, end));
-    const tl::expected<http::BodyFraming, http::HeadProblem> framing
-        = head ? http::responseFraming(*head, m_method) : tl::unexpected(head.error());
+    tl::expected<http::ResponseHead, http::HeadProblem> head =
+        http::parseResponseHead(std::string_view(input).substr(0, end));
+    const tl::expected<http::BodyFraming, http::HeadProblem> framing =
+        head ? http::responseFraming(*head, m_method) : tl::unexpected(head.error());
     if (!framing) {
         LOG(WARNING) << "targets: bytes that are no answer target=" << m_target.id.value
                      << " id=" << m_requestId;
@@ -161,8 +161,8 @@
         fail(limits::SendFailure::NotSent);
         return;
     }
-    const bool isWhole = m_hasHead && !m_isForeign && end == net::StreamEnd::Closed
-        && http::endOfInput(m_reader);
+    const bool isWhole =
+        m_hasHead && !m_isForeign && end == net::StreamEnd::Closed && http::endOfInput(m_reader);
     if (isWhole)
         complete();
     else
@@ -172,8 +172,8 @@
 void TargetSend::complete()
 {
     const bool mayReuse = m_reader.framing.framing != http::Framing::UntilClose
-        && http::keepsConnection(m_head.fields, m_head.minorVersion)
-        && m_connection.stream->unsent() == 0;
+                          && http::keepsConnection(m_head.fields, m_head.minorVersion)
+                          && m_connection.stream->unsent() == 0;
     release(mayReuse);
     m_listener.onAnswerComplete();
 }
--- a/include/egretmount/fleet/configuration.h
+++ b/include/egretmount/fleet/configuration.h
@@ -97,7 +97,8 @@
     CallerLimits limits;
     std::unordered_map<std::string, Team> teamsByKey;
     bool hasTeams = false; ///< False: no route asks for a key.
-    std::unordered_map<std::string, std::vector<std::size_t>> routesByHost; ///< Longest prefix first.
+    std::unordered_map<std::string, std::vector<std::size_t>>
+        routesByHost; ///< Longest prefix first.
 };
 
 /// @brief Fills `routesByHost`. Call once after the routes are set.
--- a/include/egretmount/fleet/target_table.h
+++ b/include/egretmount/fleet/target_table.h
@@ -52,6 +52,9 @@
 ///        lapse meanwhile, and they register again within about 2 s.
 constexpr Milliseconds lapsedGrace = Milliseconds(2'300);
 
+/// @brief Part of a service's targets that do not leave at the same moment.
+constexpr double lapseShare = 0.4;
+
 /// @brief Takes in an entry. @return True if this is a new run of the target.
 bool noteEntry(TargetTable &table, const TargetEntry &entry, Milliseconds now);
 
@@ -67,6 +70,10 @@
 /// @brief Takes in that the registry answers again after an outage.
 void noteOutageEnd(TargetTable &table, Milliseconds now);
 
+/// @brief True if so many targets of one service go at once, without having said that they leave,
+///        that their leases have rather lapsed: in an outage too short to be noticed here.
+bool looksLikeLapse(const TargetTable &table, const std::vector<TargetId> &removed);
+
 /// @brief Drops unlisted targets whose grace has ended. @return Those dropped.
 std::vector<TargetId> dropUnlisted(TargetTable &table, Milliseconds now);
 
--- a/include/egretmount/placement/planner.h
+++ b/include/egretmount/placement/planner.h
@@ -71,9 +71,9 @@
 /// Weighs the request's expected lateness against the pauses that its reading causes to streams
 /// that are being written and the delay of parts that are being read: an engine reads the part that
 /// came last first, so a long prompt waits until enough engines are free, and a smaller one may go
-/// ahead of one that is being read. The first engines in the order of their keys form the short lane, where
-/// nothing long is read: all instances agree on it without a message. Pure: the same arguments give
-/// the same plan.
+/// ahead of one that is being read. The first engines in the order of their keys form the short
+/// lane, where nothing long is read: all instances agree on it without a message. Pure: the same
+/// arguments give the same plan.
 /// @return Nothing if no candidate has a place and memory for it.
 /// @complexity Candidates times log candidates for each of eight numbers of parts.
 std::optional<Plan> planPlacement(const Ledger &ledger, const fleet::EngineSpeed &speed,
--- a/src/daemon/net/http_call.cpp
+++ b/src/daemon/net/http_call.cpp
@@ -77,10 +77,10 @@
                 fail();
             return;
         }
-        const tl::expected<http::ResponseHead, http::HeadProblem> head
-            = http::parseResponseHead(std::string_view(input).substr(0, end));
-        const tl::expected<http::BodyFraming, http::HeadProblem> framing
-            = head ? http::responseFraming(*head, {}) : tl::unexpected(head.error());
+        const tl::expected<http::ResponseHead, http::HeadProblem> head =
+            http::parseResponseHead(std::string_view(input).substr(0, end));
+        const tl::expected<http::BodyFraming, http::HeadProblem> framing =
+            head ? http::responseFraming(*head, {}) : tl::unexpected(head.error());
         if (!framing) {
             fail();
             return;
@@ -118,8 +118,9 @@
 void HttpCaller::finish(int status)
 {
     m_reactor.cancel(m_timer);
-    if (m_stream && (!http::keepsConnection(m_head.fields, m_head.minorVersion)
-                     || m_reader.framing.framing == http::Framing::UntilClose)) {
+    if (m_stream
+        && (!http::keepsConnection(m_head.fields, m_head.minorVersion)
+            || m_reader.framing.framing == http::Framing::UntilClose)) {
         m_stream->close();
         m_stream.reset();
     }
--- a/src/daemon/net/http_call.h
+++ b/src/daemon/net/http_call.h
@@ -27,8 +27,7 @@
     void call(const std::string &target, Milliseconds timeout, Done done);
 
     /// @brief Starts a POST of a JSON body. @pre No call is under way.
-    void post(const std::string &target, const std::string &json, Milliseconds timeout,
-              Done done);
+    void post(const std::string &target, const std::string &json, Milliseconds timeout, Done done);
 
     /// @brief Ends the call under way, if any, as failed, and drops the connection.
     void drop();
--- a/src/daemon/net/reactor.cpp
+++ b/src/daemon/net/reactor.cpp
@@ -69,8 +69,8 @@
     while (!m_isStopped) {
         runDeferred();
         const Milliseconds sleep = m_deferred.empty() ? timeToNextTimer() : Milliseconds();
-        const Poco::Net::PollSet::SocketModeMap ready
-            = m_pollSet.poll(Poco::Timespan(sleep.count() * Poco::Timespan::MILLISECONDS));
+        const Poco::Net::PollSet::SocketModeMap ready =
+            m_pollSet.poll(Poco::Timespan(sleep.count() * Poco::Timespan::MILLISECONDS));
         m_now = monotonicNow();
         for (const auto &[socket, mode] : ready) {
             // An earlier callback of this round may have taken the watcher away.
--- a/src/daemon/net/server_connection.cpp
+++ b/src/daemon/net/server_connection.cpp
@@ -24,8 +24,8 @@
                                                         const Poco::Net::StreamSocket &socket,
                                                         RequestHandler &handler)
 {
-    std::shared_ptr<ServerConnection> connection
-        = std::make_shared<ServerConnection>(reactor, handler);
+    std::shared_ptr<ServerConnection> connection =
+        std::make_shared<ServerConnection>(reactor, handler);
     connection->m_self = connection;
     connection->m_stream = TcpStream::adopt(reactor, socket, connection.get());
     connection->m_limits = handler.limits();
@@ -88,8 +88,8 @@
     }
     if (end == std::string::npos)
         return false;
-    tl::expected<http::RequestHead, http::HeadProblem> head
-        = http::parseRequestHead(std::string_view(input).substr(0, end));
+    tl::expected<http::RequestHead, http::HeadProblem> head =
+        http::parseRequestHead(std::string_view(input).substr(0, end));
     if (!head) {
         refuse(static_cast<int>(head.error()), "malformed-head");
         return false;
@@ -229,7 +229,7 @@
         m_stream->closeGently();
     else
         m_stream->abort();
-    m_reactor.defer([self = std::move(m_self)] { });
+    m_reactor.defer([self = std::move(m_self)] {});
 }
 
 void ServerConnection::finishAnswer()
@@ -239,7 +239,7 @@
         m_phase = Phase::Closed;
         m_reactor.cancel(m_timer);
         m_stream->closeGently();
-        m_reactor.defer([self = std::move(m_self)] { });
+        m_reactor.defer([self = std::move(m_self)] {});
         return;
     }
     m_phase = Phase::Idle;
@@ -257,7 +257,7 @@
     m_phase = Phase::Closed;
     m_reactor.cancel(m_timer);
     m_stream->closeGently();
-    m_reactor.defer([self = std::move(m_self)] { });
+    m_reactor.defer([self = std::move(m_self)] {});
 }
 
 void ServerConnection::onEnd(StreamEnd)
@@ -271,7 +271,7 @@
     m_goneListener = nullptr;
     if (listener)
         listener();
-    m_reactor.defer([self] { });
+    m_reactor.defer([self] {});
 }
 
 } // namespace egretmount::net
--- a/src/daemon/net/server_connection.h
+++ b/src/daemon/net/server_connection.h
@@ -27,8 +27,7 @@
 
     /// @brief A whole request has arrived. The handler answers it once, now or later.
     virtual void onRequest(const std::shared_ptr<ServerConnection> &connection,
-                           http::RequestHead head, std::string body)
-        = 0;
+                           http::RequestHead head, std::string body) = 0;
 
     /// @brief What callers may send at present.
     virtual fleet::CallerLimits limits() const { return {}; }
@@ -41,7 +40,9 @@
 };
 
 /// @brief One connection of a caller: reads requests one after the other, writes their answers.
-class ServerConnection : public std::enable_shared_from_this<ServerConnection>, private StreamUser
+class ServerConnection
+    : public std::enable_shared_from_this<ServerConnection>
+    , private StreamUser
 {
 public:
     /// @brief Serves an accepted connection until it ends.
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -61,8 +61,7 @@
     return stream;
 }
 
-std::shared_ptr<TcpStream> TcpStream::adopt(Reactor &reactor,
-                                            const Poco::Net::StreamSocket &socket,
+std::shared_ptr<TcpStream> TcpStream::adopt(Reactor &reactor, const Poco::Net::StreamSocket &socket,
                                             StreamUser *user)
 {
     std::shared_ptr<TcpStream> stream = std::make_shared<TcpStream>(reactor, socket, user);
@@ -273,8 +272,8 @@
     socket.bind(Poco::Net::SocketAddress(address), true);
     socket.listen(backlog);
     socket.setBlocking(false);
-    std::shared_ptr<Listener> listener
-        = std::make_shared<Listener>(reactor, socket, std::move(accept));
+    std::shared_ptr<Listener> listener =
+        std::make_shared<Listener>(reactor, socket, std::move(accept));
     reactor.watch(socket, PollSet::POLL_READ, listener);
     return listener;
 }
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -38,7 +38,9 @@
 ///
 /// Errors never throw: they end the stream. A silent peer is found by short keep-alive probes and
 /// by a bound on unacknowledged data.
-class TcpStream : public SocketWatcher, public std::enable_shared_from_this<TcpStream>
+class TcpStream
+    : public SocketWatcher
+    , public std::enable_shared_from_this<TcpStream>
 {
 public:
     /// @brief Starts to connect. The user hears of the outcome later, never during the call.
@@ -103,7 +105,9 @@
 };
 
 /// @brief Accepts connections and hands each one to a function.
-class Listener : public SocketWatcher, public std::enable_shared_from_this<Listener>
+class Listener
+    : public SocketWatcher
+    , public std::enable_shared_from_this<Listener>
 {
 public:
     using Accept = std::function<void(const Poco::Net::StreamSocket &)>;
--- a/src/fleet/target_table.cpp
+++ b/src/fleet/target_table.cpp
@@ -8,8 +8,8 @@
 {
     const auto [position, isNew] = table.targets.try_emplace(entry.id);
     Target &target = position->second;
-    const bool isNewRun = isNew || target.entry.startedAt != entry.startedAt
-        || target.entry.address != entry.address;
+    const bool isNewRun =
+        isNew || target.entry.startedAt != entry.startedAt || target.entry.address != entry.address;
     target.entry = entry;
     target.isUnlisted = false;
     if (entry.coldLeft > Milliseconds() || isNewRun)
@@ -61,6 +61,25 @@
     table.outageEndedAt = now;
 }
 
+bool looksLikeLapse(const TargetTable &table, const std::vector<TargetId> &removed)
+{
+    std::map<ServiceId, int> gone;
+    for (const TargetId &id : removed) {
+        const auto found = table.targets.find(id);
+        if (found != table.targets.end() && !found->second.entry.isDraining)
+            ++gone[found->second.entry.service];
+    }
+    for (const auto &[service, count] : gone) {
+        const ServiceId &name = service;
+        const auto all =
+            std::count_if(table.targets.begin(), table.targets.end(),
+                          [&](const auto &entry) { return entry.second.entry.service == name; });
+        if (count > 1 && count >= lapseShare * static_cast<double>(all))
+            return true;
+    }
+    return false;
+}
+
 std::vector<TargetId> dropUnlisted(TargetTable &table, Milliseconds now)
 {
     std::vector<TargetId> dropped;
--- a/src/http/body.cpp
+++ b/src/http/body.cpp
@@ -33,8 +33,8 @@
 bool startChunk(BodyReader &reader, const std::string &line)
 {
     const std::size_t digits = std::min(line.find(';'), line.size());
-    const std::from_chars_result result
-        = std::from_chars(line.data(), line.data() + digits, reader.left, 16);
+    const std::from_chars_result result =
+        std::from_chars(line.data(), line.data() + digits, reader.left, 16);
     if (digits == 0 || result.ec != std::errc() || result.ptr != line.data() + digits
         || reader.left > maxChunk) {
         broken(reader);
@@ -67,8 +67,7 @@
             if (!takeLine(reader, input, position, line) || !startChunk(reader, line))
                 break;
         } else {
-            const std::size_t count
-                = std::min<std::uint64_t>(reader.left, input.size() - position);
+            const std::size_t count = std::min<std::uint64_t>(reader.left, input.size() - position);
             if (count == 0)
                 break;
             output.append(input, position, count);
@@ -130,8 +129,8 @@
 void appendChunk(std::string &out, std::string_view piece)
 {
     std::array<char, 16> digits {};
-    const std::to_chars_result result
-        = std::to_chars(digits.data(), digits.data() + digits.size(), piece.size(), 16);
+    const std::to_chars_result result =
+        std::to_chars(digits.data(), digits.data() + digits.size(), piece.size(), 16);
     out.append(digits.data(), result.ptr).append("\r\n").append(piece).append("\r\n");
 }
 
--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -11,7 +11,7 @@
 {
     static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-        || marks.find(c) != std::string_view::npos;
+           || marks.find(c) != std::string_view::npos;
 }
 
 bool isToken(std::string_view text)
@@ -86,7 +86,7 @@
 {
     const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
     return text.size() == 8 && text.substr(0, 5) == "HTTP/" && isDigit(text[5]) && text[6] == '.'
-        && isDigit(text[7]);
+           && isDigit(text[7]);
 }
 
 std::optional<std::uint64_t> decimal(std::string_view text)
@@ -124,7 +124,7 @@
         }
     }
     found.isBroken = found.isBroken || found.lengths > 1 || found.codings > 1
-        || (found.lengths > 0 && found.codings > 0);
+                     || (found.lengths > 0 && found.codings > 0);
     return found;
 }
 
@@ -132,9 +132,9 @@
 
 bool isSameName(std::string_view a, std::string_view b)
 {
-    return a.size() == b.size()
-        && std::equal(a.begin(), a.end(), b.begin(),
-                      [](char x, char y) { return lower(x) == lower(y); });
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return lower(x) == lower(y);
+           });
 }
 
 std::optional<std::string_view> fieldValue(const Fields &fields, std::string_view name)
@@ -243,17 +243,23 @@
 
 Fields endToEndFields(const Fields &fields)
 {
-    static constexpr std::string_view hopByHop[]
-        = { "Connection",       "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-            "Proxy-Authorization", "TE",       "Trailer",          "Transfer-Encoding",
-            "Upgrade",          "Expect",     "Content-Length" };
+    static constexpr std::string_view hopByHop[] = { "Connection",
+                                                     "Keep-Alive",
+                                                     "Proxy-Connection",
+                                                     "Proxy-Authenticate",
+                                                     "Proxy-Authorization",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Transfer-Encoding",
+                                                     "Upgrade",
+                                                     "Expect",
+                                                     "Content-Length" };
     Fields kept;
     kept.reserve(fields.size() + 4);
     for (const Field &field : fields) {
-        const bool isHopByHop = std::any_of(std::begin(hopByHop), std::end(hopByHop),
-                                            [&](std::string_view name) {
-                                                return isSameName(field.name, name);
-                                            });
+        const bool isHopByHop =
+            std::any_of(std::begin(hopByHop), std::end(hopByHop),
+                        [&](std::string_view name) { return isSameName(field.name, name); });
         if (!isHopByHop && !hasToken(fields, "Connection", field.name))
             kept.push_back(field);
     }
--- a/src/limits/cold_gate.cpp
+++ b/src/limits/cold_gate.cpp
@@ -17,8 +17,8 @@
         }));
     if (ahead >= coldTargetSenders)
         return 0;
-    const std::size_t senders
-        = std::min(coldTargetSenders, std::max<std::size_t>(living.size(), 1));
+    const std::size_t senders =
+        std::min(coldTargetSenders, std::max<std::size_t>(living.size(), 1));
     return static_cast<int>(ratePerSecond * coldHeadroom / static_cast<double>(senders));
 }
 
--- a/src/limits/next_step.cpp
+++ b/src/limits/next_step.cpp
@@ -23,7 +23,7 @@
 {
     const bool isBeforeRun = failure == SendFailure::NotSent || failure == SendFailure::Declined;
     const bool hasTargetsLeft = history.mayHaveRun < route.maxTargets
-        && history.sends < route.maxTargets + maxDeclinedSends;
+                                && history.sends < route.maxTargets + maxDeclinedSends;
     const bool maySend = hasTargetsLeft && (history.mayHaveRun == 0 || mayRunAgain(route));
     if (history.hasAnswerBegun) {
         const bool mayResume = maySend && route.repetition == fleet::Repetition::Stream;
--- a/src/limits/retry_budget.cpp
+++ b/src/limits/retry_budget.cpp
@@ -25,7 +25,8 @@
 {
     forgetOld(budget.requests, now - bound.window);
     forgetOld(budget.repeats, now - bound.window);
-    const double share = retryHeadroom
+    const double share =
+        retryHeadroom
         * (bound.ratio * static_cast<double>(budget.requests.size())
            + bound.slack / static_cast<double>(std::max<std::size_t>(instances, 1)));
     if (static_cast<double>(budget.repeats.size()) + 1 > share)
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -50,8 +50,8 @@
             continue;
         if (isNew || entry.incarnation != member.entry.incarnation)
             changedRuns.push_back(entry.host);
-        const bool keepsLeaving
-            = !isNew && entry.incarnation == member.entry.incarnation && member.entry.isLeaving;
+        const bool keepsLeaving =
+            !isNew && entry.incarnation == member.entry.incarnation && member.entry.isLeaving;
         member.entry = entry;
         member.entry.isLeaving = entry.isLeaving || keepsLeaving;
         member.advancedAt = now;
@@ -75,8 +75,7 @@
     return digest;
 }
 
-std::vector<std::string> digestReceivers(const Roster &roster, Milliseconds now,
-                                         std::uint64_t draw)
+std::vector<std::string> digestReceivers(const Roster &roster, Milliseconds now, std::uint64_t draw)
 {
     std::vector<std::string> living;
     for (const auto &[host, member] : roster.members) {
@@ -91,7 +90,8 @@
         receivers.push_back(living[i]);
     }
     const std::vector<std::string> silent = silentHosts(roster, now);
-    const std::size_t extra = living.empty() ? silent.size() : std::min<std::size_t>(silent.size(), 2);
+    const std::size_t extra =
+        living.empty() ? silent.size() : std::min<std::size_t>(silent.size(), 2);
     for (std::size_t i = 0; i < extra; ++i)
         receivers.push_back(silent[(roster.self.beat * extra + i) % silent.size()]);
     return receivers;
--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -22,7 +22,7 @@
     if (perSquare <= 0)
         return milliseconds / perToken;
     return (-perToken + std::sqrt(perToken * perToken + 4 * perSquare * milliseconds))
-        / (2 * perSquare);
+           / (2 * perSquare);
 }
 
 } // namespace
--- a/src/placement/demand_rate.cpp
+++ b/src/placement/demand_rate.cpp
@@ -16,8 +16,8 @@
 
 void noteArrival(DemandRate &rate, double amount, Milliseconds now)
 {
-    rate.perSecond = currentRate(rate, now)
-        + amount * 1'000.0 / static_cast<double>(rate.window.count());
+    rate.perSecond =
+        currentRate(rate, now) + amount * 1'000.0 / static_cast<double>(rate.window.count());
     rate.updatedAt = now;
 }
 
--- a/src/placement/engine_load.cpp
+++ b/src/placement/engine_load.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-EngineLoad loadOf(const Ledger &ledger, const fleet::EngineSpeed &speed,
-                  const Candidate &candidate, const Demand &demand, Milliseconds now)
+EngineLoad loadOf(const Ledger &ledger, const fleet::EngineSpeed &speed, const Candidate &candidate,
+                  const Demand &demand, Milliseconds now)
 {
     EngineLoad load;
     load.candidate = &candidate;
@@ -58,8 +58,8 @@
             }
         }
     }
-    load.passMs = writingPassTime(speed, load.received + 1, context)
-        * std::min(load.pace, greatestPassPace);
+    load.passMs =
+        writingPassTime(speed, load.received + 1, context) * std::min(load.pace, greatestPassPace);
     return load;
 }
 
--- a/src/placement/engine_load.h
+++ b/src/placement/engine_load.h
@@ -39,8 +39,8 @@
 };
 
 /// @brief Gathers the load of a candidate. @complexity Linear in the works at the engine.
-EngineLoad loadOf(const Ledger &ledger, const fleet::EngineSpeed &speed,
-                  const Candidate &candidate, const Demand &demand, Milliseconds now);
+EngineLoad loadOf(const Ledger &ledger, const fleet::EngineSpeed &speed, const Candidate &candidate,
+                  const Demand &demand, Milliseconds now);
 
 /// @brief Marks the short lane: the first usable engines in the order of their keys.
 void markLane(std::vector<EngineLoad> &loads, int size);
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -60,7 +60,7 @@
     return std::none_of(ledger.waiting.begin(), ledger.waiting.end(), [&](const auto &entry) {
         const WaitingWork &other = entry.second;
         return other.id != id && other.readingMs < passingFactor * readingMs
-            && (other.turn < turn || (other.turn == turn && other.id < id));
+               && (other.turn < turn || (other.turn == turn && other.id < id));
     });
 }
 
@@ -68,8 +68,8 @@
 {
     double sum = 0;
     for (const auto &[id, waiting] : ledger.waiting) {
-        const bool goesBefore
-            = waiting.turn < turn && waiting.readingMs < passingFactor * readingMs;
+        const bool goesBefore =
+            waiting.turn < turn && waiting.readingMs < passingFactor * readingMs;
         sum += goesBefore ? waiting.readingMs : 0;
     }
     return sum;
@@ -93,8 +93,8 @@
     Work &work = found->second;
     for (const EngineKey key : work.engines) {
         EngineState &engine = ledger.engines[key];
-        engine.lastReadAt
-            = std::max(engine.lastReadAt, std::min(now, readTime(ledger, engine, key, id, now)));
+        engine.lastReadAt =
+            std::max(engine.lastReadAt, std::min(now, readTime(ledger, engine, key, id, now)));
     }
     work.isWriting = true;
 }
@@ -131,8 +131,8 @@
         EngineState &engine = ledger.engines[key];
         // A part that was under way has taken its engine's time until now.
         if (!found->second.isWriting) {
-            engine.lastReadAt = std::max(
-                engine.lastReadAt, std::min(now, readTime(ledger, engine, key, id, now)));
+            engine.lastReadAt =
+                std::max(engine.lastReadAt, std::min(now, readTime(ledger, engine, key, id, now)));
         }
         engine.works.erase(std::remove(engine.works.begin(), engine.works.end(), id),
                            engine.works.end());
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -84,14 +84,14 @@
 {
     const double backlog = backlogAt(load, attempt.startMs);
     const double before = load.passMs + backlog;
-    const double after = load.passMs
+    const double after =
+        load.passMs
         + std::min(backlog + attempt.partMs * load.pace, std::max(backlog, attempt.perPass));
     double harm = 0;
     for (const LoadedStream &stream : load.streams) {
         const double from = pauseFrom * stream.pauseTarget;
         const double fully = pauseFully * stream.pauseTarget;
-        harm += stream.weight * lateLoss
-            * (ramp(after, from, fully) - ramp(before, from, fully));
+        harm += stream.weight * lateLoss * (ramp(after, from, fully) - ramp(before, from, fully));
     }
     return std::max(harm, 0.0);
 }
@@ -108,8 +108,8 @@
         const double finish = load.backlog + load.passMs;
         const double delay = attempt.partMs * load.pace;
         harm += part.weight
-            * (lateLoss * (ramp(finish + delay, from, fully) - ramp(finish, from, fully))
-               + slownessLoss * delay / std::max(part.latencyTarget, 1.0));
+                * (lateLoss * (ramp(finish + delay, from, fully) - ramp(finish, from, fully))
+                   + slownessLoss * delay / std::max(part.latencyTarget, 1.0));
     }
     return harm;
 }
@@ -120,17 +120,17 @@
     const double patience = static_cast<double>(demand.patience.count());
     const double time = firstEventMs + static_cast<double>(demand.waited.count());
     return demand.weight
-        * (lateLoss * ramp(time, lateFrom * target, lateFully * target)
-           + (1 - lateLoss) * ramp(firstEventMs, 0.6 * patience, patience)
-           + slownessLoss * time / std::max(target, 1.0));
+           * (lateLoss * ramp(time, lateFrom * target, lateFully * target)
+              + (1 - lateLoss) * ramp(firstEventMs, 0.6 * patience, patience)
+              + slownessLoss * time / std::max(target, 1.0));
 }
 
 // Cost beyond the part's own reading of receiving the request at an engine.
 double receivingCost(const EngineLoad &load, const fleet::EngineSpeed &speed, const Demand &demand,
                      const Attempt &attempt)
 {
-    const double fill
-        = static_cast<double>(load.received + load.unknown) / (slotFill * speed.slots);
+    const double fill =
+        static_cast<double>(load.received + load.unknown) / (slotFill * speed.slots);
     double cost = demand.weight * lateLoss * ramp(fill, 1.0, 1.0 / slotFill);
     if (load.shortWriters == 0)
         cost += spreadLoss;
@@ -150,8 +150,8 @@
 
 TokenCount freeMemory(const EngineLoad &load, const fleet::EngineSpeed &speed)
 {
-    const TokenCount usable
-        = static_cast<TokenCount>(static_cast<double>(speed.memoryTokens) * memoryShare);
+    const TokenCount usable =
+        static_cast<TokenCount>(static_cast<double>(speed.memoryTokens) * memoryShare);
     return std::max<TokenCount>(usable - load.memory, 0);
 }
 
@@ -160,16 +160,17 @@
 {
     if (!load.candidate->mayReceive || load.received + load.helped >= 2 * speed.slots)
         return false;
-    const TokenCount least = attempt.usesTickets
-        ? static_cast<TokenCount>(static_cast<double>(speed.memoryTokens) * ticketFirstShare)
-        : neededMemory(speed, demand);
+    const TokenCount least =
+        attempt.usesTickets
+            ? static_cast<TokenCount>(static_cast<double>(speed.memoryTokens) * ticketFirstShare)
+            : neededMemory(speed, demand);
     return freeMemory(load, speed) >= least;
 }
 
 // Spreads what the first engine has no room for over the helpers with most room. False if there is
 // not enough.
-bool assignMemory(Plan &plan, const std::vector<EngineLoad> &loads,
-                  const fleet::EngineSpeed &speed, const Demand &demand)
+bool assignMemory(Plan &plan, const std::vector<EngineLoad> &loads, const fleet::EngineSpeed &speed,
+                  const Demand &demand)
 {
     plan.memory.assign(plan.engines.size(), 0);
     std::vector<std::pair<TokenCount, std::size_t>> rooms;
@@ -199,12 +200,11 @@
     if (load.helped >= speed.slots)
         return false;
     return !attempt.isLongPrompt || !load.isInLane
-        || load.backlog + attempt.partMs <= laneReadingMs;
+           || load.backlog + attempt.partMs <= laneReadingMs;
 }
 
-std::vector<Option> optionsOf(const std::vector<EngineLoad> &loads,
-                              const fleet::EngineSpeed &speed, const Demand &demand,
-                              const Attempt &attempt)
+std::vector<Option> optionsOf(const std::vector<EngineLoad> &loads, const fleet::EngineSpeed &speed,
+                              const Demand &demand, const Attempt &attempt)
 {
     std::vector<Option> options;
     for (const EngineLoad &load : loads) {
@@ -252,9 +252,8 @@
 {
     std::vector<Option> options = optionsOf(loads, speed, demand, attempt);
     const std::size_t parts = static_cast<std::size_t>(attempt.parts);
-    const Option *found = options.size() < parts
-        ? nullptr
-        : cheapestFirst(options, speed, demand, attempt);
+    const Option *found =
+        options.size() < parts ? nullptr : cheapestFirst(options, speed, demand, attempt);
     if (found == nullptr)
         return std::nullopt;
     const Option first = *found;
@@ -280,8 +279,8 @@
     if (!assignMemory(plan, loads, speed, demand))
         return std::nullopt;
     plan.firstEventMs = finish + first.load->passMs + transitMs;
-    plan.cost = harm + latenessCost(demand, plan.firstEventMs)
-        + demand.weight * partLoss * attempt.parts;
+    plan.cost =
+        harm + latenessCost(demand, plan.firstEventMs) + demand.weight * partLoss * attempt.parts;
     return plan;
 }
 
@@ -301,9 +300,8 @@
     return *position;
 }
 
-std::optional<Plan> bestPlan(const std::vector<EngineLoad> &loads,
-                             const fleet::EngineSpeed &speed, const Demand &demand,
-                             Attempt attempt)
+std::optional<Plan> bestPlan(const std::vector<EngineLoad> &loads, const fleet::EngineSpeed &speed,
+                             const Demand &demand, Attempt attempt)
 {
     std::optional<Plan> best;
     const auto consider = [&] {
@@ -320,8 +318,8 @@
         attempt.startMs = 0;
         consider();
         const std::optional<double> free = attempt.isLongPrompt && demand.mayWait
-            ? timeOfFreeEngines(loads, speed, attempt)
-            : std::nullopt;
+                                               ? timeOfFreeEngines(loads, speed, attempt)
+                                               : std::nullopt;
         if (free && *free > 0) {
             attempt.startMs = *free;
             consider();
@@ -345,8 +343,8 @@
 
 int shortLaneSize(const fleet::EngineSpeed &speed, const Outlook &outlook, int engines)
 {
-    const int needed
-        = static_cast<int>(std::ceil(outlook.shortRequests / (laneFill * speed.slots))) + 1;
+    const int needed =
+        static_cast<int>(std::ceil(outlook.shortRequests / (laneFill * speed.slots))) + 1;
     const int forLong = std::max(1, static_cast<int>(std::lround(engines * longShare)));
     return std::clamp(needed, 0, std::max(0, engines - forLong));
 }
--- /dev/null
+++ b/tests/node/support/standin.cpp
@@ -0,0 +1,514 @@
+#include "support/standin.h"
+
+#include <algorithm>
+#include <future>
+#include <sstream>
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/URI.h>
+
+#include <egretmount/http/body.h>
+
+namespace egretmount::tests {
+
+namespace {
+
+std::string base64(const std::string &text)
+{
+    std::ostringstream output;
+    Poco::Base64Encoder encoder(output);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return output.str();
+}
+
+std::string query(const std::string &target, const std::string &name)
+{
+    for (const std::pair<std::string, std::string> &parameter :
+         Poco::URI(target).getQueryParameters()) {
+        if (parameter.first == name)
+            return parameter.second;
+    }
+    return {};
+}
+
+} // namespace
+
+/// @brief One connection to a target.
+class StandIn::TargetConnection
+    : public net::StreamUser
+    , public std::enable_shared_from_this<TargetConnection>
+{
+public:
+    TargetConnection(StandIn &owner, std::string target, int number)
+        : m_owner(owner)
+        , m_target(std::move(target))
+        , m_number(number)
+    { }
+
+    void begin(const Poco::Net::StreamSocket &socket)
+    {
+        m_self = shared_from_this();
+        m_stream = net::TcpStream::adopt(m_owner.m_reactor, socket, this);
+    }
+
+    void reset()
+    {
+        if (m_stream)
+            m_stream->abort();
+        m_isBusy = false;
+        m_owner.m_reactor.defer([self = std::move(m_self)] {});
+    }
+
+private:
+    void onBytes() override
+    {
+        std::string &input = m_stream->input();
+        if (m_isBusy)
+            return;
+        if (!m_hasHead) {
+            const std::size_t end = input.find("\r\n\r\n");
+            if (end == std::string::npos)
+                return;
+            const auto head = http::parseRequestHead(std::string_view(input).substr(0, end));
+            if (!head) {
+                reset();
+                return;
+            }
+            input.erase(0, end + 4);
+            m_arrival = {};
+            m_arrival.head = *head;
+            m_reader = http::makeBodyReader(*http::requestFraming(*head));
+            m_hasHead = true;
+        }
+        if (http::readBody(m_reader, input, m_arrival.body) != http::BodyState::Complete)
+            return;
+        m_hasHead = false;
+        m_isBusy = true;
+        serve();
+    }
+
+    void onEnd(net::StreamEnd) override
+    {
+        if (m_isBusy)
+            ++m_owner.m_abandoned;
+        m_isBusy = false;
+        m_owner.m_reactor.defer([self = std::move(m_self)] {});
+    }
+
+    void serve()
+    {
+        const auto field = [this](const char *name) {
+            return std::string(http::fieldValue(m_arrival.head.fields, name).value_or(""));
+        };
+        m_arrival.target = m_target;
+        m_arrival.requestId = field("Request-Id");
+        m_arrival.at = monotonicNow();
+        m_arrival.connection = m_number;
+        if (m_arrival.head.target == "/v1/order") {
+            answer(200, "{\"free\":100000}", "");
+            return;
+        }
+        const bool isMisdirected = field("Expected-Instance") != m_target;
+        std::function<Script(const Arrival &)> script;
+        {
+            const std::lock_guard<std::mutex> lock(m_owner.m_mutex);
+            script = m_owner.m_script;
+        }
+        m_script = script ? script(m_arrival) : Script();
+        m_arrival.ran = !isMisdirected && !m_script.declines;
+        {
+            const std::lock_guard<std::mutex> lock(m_owner.m_mutex);
+            m_owner.m_arrivals.push_back(m_arrival);
+        }
+        if (isMisdirected) {
+            answer(421, "", "Instance-Id: " + m_target + "\r\n");
+        } else if (m_script.declines) {
+            answer(m_script.status == 200 ? 503 : m_script.status, "", "Not-Executed: 1\r\n");
+        } else if (m_script.isSilent) {
+            return;
+        } else if (m_script.sendsGarbage) {
+            m_stream->write("garbage that is no answer\r\n\r\n");
+        } else if (m_script.events == 0 || m_script.status != 200) {
+            after(m_script.firstAfter, [this] { answerPlain(); });
+        } else {
+            m_nextEvent = 1;
+            const std::string last = field("Last-Event-Id");
+            if (!last.empty())
+                m_nextEvent = std::stoi(last) + 1;
+            after(m_script.firstAfter, [this] { beginStream(); });
+        }
+    }
+
+    void after(Milliseconds delay, std::function<void()> task)
+    {
+        const std::weak_ptr<TargetConnection> weak = weak_from_this();
+        m_owner.m_reactor.after(delay, [weak, task = std::move(task)] {
+            const std::shared_ptr<TargetConnection> self = weak.lock();
+            if (self && self->m_isBusy && self->m_stream->isOpen())
+                task();
+        });
+    }
+
+    std::string answerHead(int status, const std::string &fields) const
+    {
+        const std::string id = m_script.namesAnother ? "another-request" : m_arrival.requestId;
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + id
+               + "\r\nServer-Load: 1,0,16\r\n" + fields;
+    }
+
+    void answer(int status, const std::string &body, const std::string &fields)
+    {
+        m_stream->write(answerHead(status, fields)
+                        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        m_isBusy = false;
+    }
+
+    void answerPlain()
+    {
+        const std::string stamp = "Response-Signature: " + m_target + "\r\n";
+        if (m_script.breakAfter >= 0) {
+            m_stream->write(answerHead(m_script.status, stamp) + "Content-Length: 100\r\n\r\nhalf");
+            reset();
+            return;
+        }
+        answer(m_script.status, m_script.body, stamp);
+        if (m_script.sendsExtra)
+            m_stream->write(
+                "HTTP/1.1 200 OK\r\nRequest-Id: stray\r\nContent-Length: 5\r\n\r\nstray");
+    }
+
+    void beginStream()
+    {
+        m_stream->write(answerHead(200, "Response-Signature: " + m_target
+                                            + "\r\nContent-Type: text/event-stream\r\n"
+                                              "Transfer-Encoding: chunked\r\n")
+                        + "\r\n");
+        m_sent = 0;
+        sendEvent();
+    }
+
+    void sendEvent()
+    {
+        const std::string event = "id: " + std::to_string(m_nextEvent) + "\ndata: event "
+                                  + std::to_string(m_nextEvent) + "\n\n";
+        if (m_sent == m_script.breakAfter) {
+            if (m_script.breaksInEvent) {
+                std::string half;
+                http::appendChunk(half, event.substr(0, event.size() / 2));
+                m_stream->write(half);
+            }
+            reset();
+            return;
+        }
+        std::string chunk;
+        http::appendChunk(chunk, event);
+        m_stream->write(chunk);
+        ++m_sent;
+        if (m_nextEvent++ >= m_script.events) {
+            m_stream->write(http::lastChunk);
+            m_isBusy = false;
+            return;
+        }
+        after(m_script.gap, [this] { sendEvent(); });
+    }
+
+    StandIn &m_owner;
+    std::string m_target;
+    int m_number;
+    std::shared_ptr<net::TcpStream> m_stream;
+    std::shared_ptr<TargetConnection> m_self;
+    Arrival m_arrival;
+    Script m_script;
+    http::BodyReader m_reader;
+    int m_nextEvent = 1;
+    int m_sent = 0;
+    bool m_hasHead = false;
+    bool m_isBusy = false;
+};
+
+/// @brief One target: a listening port and its connections.
+class StandIn::Target
+{
+public:
+    Target(StandIn &owner, std::string id, const std::string &address)
+    {
+        m_listener = net::Listener::open(
+            owner.m_reactor, address, [this, &owner, id](const Poco::Net::StreamSocket &socket) {
+                const auto connection =
+                    std::make_shared<TargetConnection>(owner, id, ++owner.m_connections);
+                m_connections.push_back(connection);
+                connection->begin(socket);
+            });
+    }
+
+    void kill()
+    {
+        m_listener->close();
+        for (const std::weak_ptr<TargetConnection> &weak : m_connections) {
+            if (const std::shared_ptr<TargetConnection> connection = weak.lock())
+                connection->reset();
+        }
+    }
+
+private:
+    std::shared_ptr<net::Listener> m_listener;
+    std::vector<std::weak_ptr<TargetConnection>> m_connections;
+};
+
+/// @brief The store's HTTP side.
+class StandIn::Store : public net::RequestHandler
+{
+public:
+    explicit Store(StandIn &owner)
+        : m_owner(owner)
+    {
+        m_listener = net::Listener::open(
+            owner.m_reactor, owner.storeAddress(), [this](const Poco::Net::StreamSocket &socket) {
+                net::ServerConnection::serve(m_owner.m_reactor, socket, *this);
+            });
+    }
+
+    void notify()
+    {
+        std::vector<Watch> watches = std::move(m_watches);
+        m_watches.clear();
+        for (const Watch &watch : watches)
+            answerWatch(watch, false);
+    }
+
+private:
+    struct Watch
+    {
+        std::shared_ptr<net::ServerConnection> connection;
+        long after = 0;
+        Milliseconds until;
+    };
+
+    void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
+                   std::string) override
+    {
+        ++m_owner.m_storeCalls;
+        switch (m_owner.m_mode) {
+        case StoreMode::Refuses:
+            connection->answer(503, "Unavailable", {}, {});
+            return;
+        case StoreMode::Silent:
+            m_silent.push_back(connection);
+            return;
+        case StoreMode::HistoryGone:
+            if (head.target.find("kv-watch") != std::string::npos) {
+                m_owner.m_mode = StoreMode::Serves;
+                connection->answer(410, "Gone", {}, {});
+                return;
+            }
+            break;
+        case StoreMode::Serves:
+            break;
+        }
+        if (head.target.find("/v1/kv-range") == 0) {
+            connection->answer(200, "OK", {}, listing());
+            return;
+        }
+        const long after = std::stol(query(head.target, "after"));
+        const long wait = std::stol(query(head.target, "waitMs"));
+        answerWatch({ connection, after, m_owner.m_reactor.now() + Milliseconds(wait) }, false);
+    }
+
+    static std::string itemText(const std::string &key, const Item &item)
+    {
+        if (item.isRemoved)
+            return "{\"key\":\"" + key + "\",\"revision\":" + std::to_string(item.revision)
+                   + ",\"removed\":true}";
+        return "{\"key\":\"" + key + "\",\"value\":\"" + base64(item.value)
+               + "\",\"revision\":" + std::to_string(item.revision) + ",\"created\":1,\"lease\":0}";
+    }
+
+    std::string listing() const
+    {
+        std::string items;
+        for (const auto &[key, item] : m_owner.m_items) {
+            if (!item.isRemoved)
+                items.append(items.empty() ? "" : ",").append(itemText(key, item));
+        }
+        return "{\"items\":[" + items
+               + "],\"hasMore\":false,\"at\":" + std::to_string(m_owner.m_revision) + "}";
+    }
+
+    void answerWatch(const Watch &watch, bool isTimeUp)
+    {
+        std::string events;
+        for (const auto &[key, item] : m_owner.m_items) {
+            if (item.revision > watch.after)
+                events.append(events.empty() ? "" : ",").append(itemText(key, item));
+        }
+        if (events.empty() && !isTimeUp && m_owner.m_reactor.now() < watch.until) {
+            m_watches.push_back(watch);
+            m_owner.m_reactor.after(watch.until - m_owner.m_reactor.now(),
+                                    [this, watch] { endWatch(watch); });
+            return;
+        }
+        watch.connection->answer(200, "OK", {},
+                                 "{\"events\":[" + events
+                                     + "],\"at\":" + std::to_string(m_owner.m_revision) + "}");
+    }
+
+    void endWatch(const Watch &watch)
+    {
+        const auto found = std::find_if(m_watches.begin(), m_watches.end(), [&](const Watch &one) {
+            return one.connection == watch.connection && one.until == watch.until;
+        });
+        if (found == m_watches.end())
+            return;
+        m_watches.erase(found);
+        answerWatch(watch, true);
+    }
+
+    StandIn &m_owner;
+    std::shared_ptr<net::Listener> m_listener;
+    std::vector<Watch> m_watches;
+    std::vector<std::shared_ptr<net::ServerConnection>> m_silent;
+};
+
+StandIn::StandIn(int subnet)
+    : m_subnet(subnet)
+{
+    m_store = std::make_unique<Store>(*this);
+    m_reactor.every(Milliseconds(3), [this] { runTasks(); });
+    m_thread = std::thread([this] { m_reactor.run(); });
+}
+
+StandIn::~StandIn()
+{
+    call([this] { m_reactor.stop(); });
+    m_thread.join();
+}
+
+std::string StandIn::address(int host, int port) const
+{
+    return "127.88." + std::to_string(m_subnet) + '.' + std::to_string(host) + ':'
+           + std::to_string(port);
+}
+
+void StandIn::call(const std::function<void()> &task)
+{
+    std::promise<void> done;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_tasks.push_back([&] {
+            task();
+            done.set_value();
+        });
+    }
+    done.get_future().wait();
+}
+
+void StandIn::runTasks()
+{
+    std::vector<std::function<void()>> tasks;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        tasks.swap(m_tasks);
+    }
+    for (const std::function<void()> &task : tasks)
+        task();
+}
+
+void StandIn::addTarget(int number, const std::string &service, const std::string &zone)
+{
+    call([&] {
+        m_services[number] = service;
+        m_zones[number] = zone;
+        m_targets[number] =
+            std::make_shared<Target>(*this, targetId(number), address(100 + number, 8080));
+    });
+    writeEntry(number, "ready");
+}
+
+void StandIn::killTarget(int number)
+{
+    call([&] {
+        m_targets.at(number)->kill();
+        m_targets.erase(number);
+    });
+}
+
+void StandIn::writeEntry(int number, const std::string &state)
+{
+    Poco::JSON::Object entry;
+    call([&] {
+        entry.set("service", m_services.at(number));
+        entry.set("zone", m_zones.at(number));
+    });
+    entry.set("address", address(100 + number, 8080));
+    entry.set("version", "v1");
+    entry.set("slots", 16);
+    entry.set("state", state);
+    entry.set("coldLeftMs", 0);
+    entry.set("born", 1'700'000'000'000 + number);
+    entry.set("sequence", 1);
+    std::ostringstream text;
+    entry.stringify(text);
+    put("servers/" + targetId(number), text.str());
+}
+
+void StandIn::removeEntry(int number)
+{
+    remove("servers/" + targetId(number));
+}
+
+void StandIn::put(const std::string &key, const std::string &value)
+{
+    call([&] {
+        m_items[key] = { value, ++m_revision, false };
+        notify();
+    });
+}
+
+void StandIn::remove(const std::string &key)
+{
+    call([&] {
+        m_items[key] = { {}, ++m_revision, true };
+        notify();
+    });
+}
+
+void StandIn::notify()
+{
+    if (m_mode == StoreMode::Serves)
+        m_store->notify();
+}
+
+void StandIn::setStoreMode(StoreMode mode)
+{
+    call([&] {
+        m_mode = mode;
+        notify();
+    });
+}
+
+void StandIn::setScript(std::function<Script(const Arrival &)> script)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_script = std::move(script);
+}
+
+std::vector<Arrival> StandIn::arrivals() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_arrivals;
+}
+
+std::vector<Arrival> StandIn::arrivalsOf(const std::string &requestId) const
+{
+    std::vector<Arrival> found;
+    for (const Arrival &arrival : arrivals()) {
+        if (arrival.requestId == requestId)
+            found.push_back(arrival);
+    }
+    return found;
+}
+
+} // namespace egretmount::tests
--- a/tests/parts/fleet_target_table_test.cpp
+++ b/tests/parts/fleet_target_table_test.cpp
@@ -84,8 +84,7 @@
     fleet::noteRemoval(table, TargetId("b"), 5'000_ms);
     CHECK(fleet::dropUnlisted(table, 7'000_ms).empty());
     fleet::noteEntry(table, entry("a"), 7'000_ms); // a lives and registers again
-    const std::vector<TargetId> dropped
-        = fleet::dropUnlisted(table, 5'000_ms + fleet::lapsedGrace);
+    const std::vector<TargetId> dropped = fleet::dropUnlisted(table, 5'000_ms + fleet::lapsedGrace);
     REQUIRE(dropped.size() == 1);
     CHECK(dropped[0].value == "b");
     CHECK_FALSE(table.targets.at(TargetId("a")).isUnlisted);
@@ -104,3 +103,17 @@
     CHECK(table.targets.at(TargetId("b")).isUnlisted);
     CHECK(table.targets.count(TargetId("c")) == 1);
 }
+
+TEST_CASE("many targets that go at once have lapsed, one that goes has left")
+{
+    fleet::TargetTable table;
+    for (const char *id : { "a", "b", "c", "d" })
+        fleet::noteEntry(table, entry(id), 0_ms);
+    CHECK_FALSE(fleet::looksLikeLapse(table, { TargetId("a") }));
+    CHECK(fleet::looksLikeLapse(table, { TargetId("a"), TargetId("b") }));
+    CHECK_FALSE(fleet::looksLikeLapse(table, { TargetId("x"), TargetId("y") }));
+    fleet::TargetEntry draining = entry("a");
+    draining.isDraining = true;
+    fleet::noteEntry(table, draining, 0_ms);
+    CHECK_FALSE(fleet::looksLikeLapse(table, { TargetId("a"), TargetId("b") }));
+}
--- a/tests/parts/http_body_test.cpp
+++ b/tests/parts/http_body_test.cpp
@@ -47,7 +47,8 @@
 
 TEST_CASE("broken chunks are found")
 {
-    for (const char *text : { "zz\r\n", "-1\r\n", "4\r\nwikiXX", "\r\n", "fffffffffffffffff\r\n" }) {
+    for (const char *text :
+         { "zz\r\n", "-1\r\n", "4\r\nwikiXX", "\r\n", "fffffffffffffffff\r\n" }) {
         CAPTURE(text);
         BodyReader reader = http::makeBodyReader({ Framing::Chunked, 0 });
         std::string rest;
--- a/tests/parts/http_head_test.cpp
+++ b/tests/parts/http_head_test.cpp
@@ -10,8 +10,8 @@
 
 http::RequestHead requestWith(const std::string &fields)
 {
-    const tl::expected<http::RequestHead, HeadProblem> head
-        = http::parseRequestHead("POST /a/b?c HTTP/1.1\r\nHost: x.example" + fields);
+    const tl::expected<http::RequestHead, HeadProblem> head =
+        http::parseRequestHead("POST /a/b?c HTTP/1.1\r\nHost: x.example" + fields);
     REQUIRE(head.has_value());
     return *head;
 }
@@ -56,8 +56,8 @@
         REQUIRE_FALSE(head.has_value());
         CHECK(head.error() == HeadProblem::Malformed);
     }
-    const tl::expected<http::RequestHead, HeadProblem> later
-        = http::parseRequestHead("GET / HTTP/2.0");
+    const tl::expected<http::RequestHead, HeadProblem> later =
+        http::parseRequestHead("GET / HTTP/2.0");
     REQUIRE_FALSE(later.has_value());
     CHECK(later.error() == HeadProblem::VersionNotSupported);
 }
@@ -66,8 +66,8 @@
 {
     CHECK(http::requestFraming(requestWith(""))->framing == Framing::None);
     CHECK(http::requestFraming(requestWith("\r\nContent-Length: 0"))->framing == Framing::None);
-    const tl::expected<http::BodyFraming, HeadProblem> length
-        = http::requestFraming(requestWith("\r\nContent-Length: 12"));
+    const tl::expected<http::BodyFraming, HeadProblem> length =
+        http::requestFraming(requestWith("\r\nContent-Length: 12"));
     CHECK(length->framing == Framing::Length);
     CHECK(length->length == 12);
     CHECK(http::requestFraming(requestWith("\r\nTransfer-Encoding: Chunked"))->framing
@@ -96,9 +96,9 @@
           == Framing::UntilClose);
     CHECK(http::responseFraming(responseWith("HTTP/1.1 204 No Content"), "GET")->framing
           == Framing::None);
-    CHECK(http::responseFraming(responseWith("HTTP/1.1 200 OK\r\nContent-Length: 5"), "HEAD")
-              ->framing
-          == Framing::None);
+    CHECK(
+        http::responseFraming(responseWith("HTTP/1.1 200 OK\r\nContent-Length: 5"), "HEAD")->framing
+        == Framing::None);
     CHECK(http::responseFraming(responseWith("HTTP/1.1 200\r\nContent-Length: 5"), "GET")->length
           == 5);
     CHECK_FALSE(http::parseResponseHead("HTTP/1.1 2x0 OK").has_value());
@@ -107,9 +107,9 @@
 
 TEST_CASE("fields of one connection are not passed on")
 {
-    const http::RequestHead head
-        = requestWith("\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5"
-                      "\r\nTransfer-Encoding: chunked\r\nX-Theirs: 2");
+    const http::RequestHead head =
+        requestWith("\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5"
+                    "\r\nTransfer-Encoding: chunked\r\nX-Theirs: 2");
     const http::Fields kept = http::endToEndFields(head.fields);
     REQUIRE(kept.size() == 2);
     CHECK(kept[0].name == "Host");
--- a/tests/parts/limits_test.cpp
+++ b/tests/parts/limits_test.cpp
@@ -39,8 +39,7 @@
 {
     const fleet::Route once = route(fleet::Repetition::AtMostOnce, 3);
     CHECK(limits::nextStep(once, SendFailure::Broken, history(1, 1)) == NextStep::AnswerUnknown);
-    CHECK(limits::nextStep(once, SendFailure::FailedRun, history(1, 1))
-          == NextStep::AnswerUnknown);
+    CHECK(limits::nextStep(once, SendFailure::FailedRun, history(1, 1)) == NextStep::AnswerUnknown);
     CHECK(limits::nextStep(once, SendFailure::NotSent, history(0, 0)) == NextStep::SendAgain);
     CHECK(limits::nextStep(once, SendFailure::Declined, history(1, 0)) == NextStep::SendAgain);
 }
@@ -53,8 +52,8 @@
         for (const SendFailure failure : { SendFailure::NotSent, SendFailure::Declined,
                                            SendFailure::Broken, SendFailure::FailedRun }) {
             for (int mayHaveRun = 0; mayHaveRun < 3; ++mayHaveRun) {
-                const NextStep step = limits::nextStep(route(repetition, 2, true), failure,
-                                                       history(4, mayHaveRun));
+                const NextStep step =
+                    limits::nextStep(route(repetition, 2, true), failure, history(4, mayHaveRun));
                 CHECK((step != NextStep::AnswerNotRun || mayHaveRun == 0));
             }
         }
--- a/tests/parts/membership_roster_test.cpp
+++ b/tests/parts/membership_roster_test.cpp
@@ -48,10 +48,9 @@
         for (std::size_t i = 0; i < rosters.size(); ++i) {
             if (!isRunning[i])
                 continue;
-            const std::vector<membership::RosterEntry> digest
-                = membership::makeDigest(rosters[i], now);
-            for (const std::string &host :
-                 membership::digestReceivers(rosters[i], now, random())) {
+            const std::vector<membership::RosterEntry> digest =
+                membership::makeDigest(rosters[i], now);
+            for (const std::string &host : membership::digestReceivers(rosters[i], now, random())) {
                 ++messages;
                 for (std::size_t j = 0; j < rosters.size(); ++j) {
                     if (isRunning[j] && rosters[j].self.host == host)
@@ -93,8 +92,8 @@
     for (std::size_t i = 0; i < network.rosters.size(); ++i) {
         if (i == 5)
             continue;
-        const std::vector<std::string> hosts
-            = membership::servingHosts(network.rosters[i], network.now);
+        const std::vector<std::string> hosts =
+            membership::servingHosts(network.rosters[i], network.now);
         CHECK(std::find(hosts.begin(), hosts.end(), hostAt(5)) == hosts.end());
     }
 }
--- a/tests/parts/placement_fleet.cpp
+++ b/tests/parts/placement_fleet.cpp
@@ -83,8 +83,8 @@
             std::normal_distribution<double> size(-of.spread * of.spread / 2, of.spread);
             Served made;
             made.kind = kind;
-            made.promptTokens = static_cast<TokenCount>(
-                static_cast<double>(of.meanPrompt) * std::exp(size(m_random)));
+            made.promptTokens = static_cast<TokenCount>(static_cast<double>(of.meanPrompt)
+                                                        * std::exp(size(m_random)));
             made.arrivedAt = m_now;
             m_served.push_back(made);
             offer(m_served.size() - 1, 0);
@@ -101,8 +101,8 @@
         demand.latencyTarget = Milliseconds(static_cast<std::int64_t>(kind.latencyTargetMs));
         demand.pauseTarget = Milliseconds(static_cast<std::int64_t>(kind.pauseTargetMs));
         demand.waited = Milliseconds(static_cast<std::int64_t>(m_now - served.arrivedAt));
-        demand.patience = Milliseconds(static_cast<std::int64_t>(
-            std::max(2'000.0, 4 * kind.latencyTargetMs)));
+        demand.patience =
+            Milliseconds(static_cast<std::int64_t>(std::max(2'000.0, 4 * kind.latencyTargetMs)));
         return demand;
     }
 
@@ -152,12 +152,13 @@
         std::vector<placement::Candidate> candidates(m_engines.size());
         for (std::size_t i = 0; i < candidates.size(); ++i)
             candidates[i].key = i + 1;
-        const std::optional<placement::Plan> plan = placement::planPlacement(
-            m_ledger, m_speed, candidates, demand, outlook(), now());
+        const std::optional<placement::Plan> plan =
+            placement::planPlacement(m_ledger, m_speed, candidates, demand, outlook(), now());
         if (plan && plan->startMs <= 25) {
             m_memory = plan->memory;
             enter(index, plan->engines, plan->engines.size(), work != 0 ? work : ++m_lastWork);
-        } else if (!isShort && m_now - served.arrivedAt < 2 * m_kinds[served.kind].latencyTargetMs) {
+        } else if (!isShort
+                   && m_now - served.arrivedAt < 2 * m_kinds[served.kind].latencyTargetMs) {
             wait(index, work, reading, turn);
         } else {
             served.isRefused = true;
@@ -168,7 +169,8 @@
     void wait(std::size_t index, std::uint64_t work, double reading, Milliseconds turn)
     {
         const std::uint64_t id = work != 0 ? work : ++m_lastWork;
-        placement::addWaiting(m_ledger, { id, "here", reading, turn, now() + Milliseconds(15'000) });
+        placement::addWaiting(m_ledger,
+                              { id, "here", reading, turn, now() + Milliseconds(15'000) });
         m_waiting[id] = index;
     }
 
@@ -193,8 +195,8 @@
                std::size_t parts, std::uint64_t id)
     {
         const Served &served = m_served[index];
-        const double partMs = placement::partReadingTime(m_speed, served.promptTokens,
-                                                         static_cast<int>(parts));
+        const double partMs =
+            placement::partReadingTime(m_speed, served.promptTokens, static_cast<int>(parts));
         const double tokens = static_cast<double>(served.promptTokens) / static_cast<double>(parts);
         for (const placement::EngineKey key : engines)
             m_engines[key - 1].readings.push_back({ id, tokens, partMs / tokens, parts > 1 });
@@ -270,8 +272,8 @@
         if (--job.partsLeft > 0)
             return;
         const Served &served = m_served[job.served];
-        m_engines[job.first].writers.push_back({ id, m_kinds[served.kind].events,
-                                                 static_cast<double>(served.promptTokens), false });
+        m_engines[job.first].writers.push_back(
+            { id, m_kinds[served.kind].events, static_cast<double>(served.promptTokens), false });
     }
 
     void endPass(Engine &engine)
@@ -344,7 +346,7 @@
             continue;
         ++all;
         const bool isInTime = one.isComplete && one.firstEventMs <= kinds[kind].latencyTargetMs
-            && one.longestPauseMs <= kinds[kind].pauseTargetMs;
+                              && one.longestPauseMs <= kinds[kind].pauseTargetMs;
         inTime += isInTime ? 1 : 0;
     }
     return all == 0 ? 1 : static_cast<double>(inTime) / all;
--- a/tests/parts/placement_fleet.h
+++ b/tests/parts/placement_fleet.h
@@ -10,8 +10,8 @@
 #include <egretmount/placement/planner.h>
 
 /// A model of engines and callers without network, for tests of placement under load. The engines
-/// follow the published formula: steps, passes of a fixed number of steps, chunks, and the part that
-/// came last is read first.
+/// follow the published formula: steps, passes of a fixed number of steps, chunks, and the part
+/// that came last is read first.
 namespace egretmount::model {
 
 struct Kind
--- a/tests/parts/placement_load_test.cpp
+++ b/tests/parts/placement_load_test.cpp
@@ -44,8 +44,8 @@
 
 TEST_CASE("pattern: a mixed load at two fifths of the fleet; nobody waits for somebody else")
 {
-    const std::vector<model::Served> served
-        = playUsual(steady(40, 2, 1), 15'000, model::Policy::Planner);
+    const std::vector<model::Served> served =
+        playUsual(steady(40, 2, 1), 15'000, model::Policy::Planner);
     CHECK(inTime(served, shortKind, warmUpMs, 15'000) >= 0.97);
     CHECK(inTime(served, middleKind, warmUpMs, 15'000) >= 0.9);
     CHECK(inTime(served, longKind, warmUpMs, 15'000) >= 0.8);
@@ -59,8 +59,7 @@
     CHECK(inTime(planned, shortKind, warmUpMs, 12'000) >= 0.9);
     CHECK(inTime(planned, shortKind, warmUpMs, 12'000)
           > inTime(simple, shortKind, warmUpMs, 12'000));
-    CHECK(inTime(planned, longKind, warmUpMs, 12'000)
-          > inTime(simple, longKind, warmUpMs, 12'000));
+    CHECK(inTime(planned, longKind, warmUpMs, 12'000) > inTime(simple, longKind, warmUpMs, 12'000));
 }
 
 TEST_CASE("pattern: a wave of long prompts turns into one of short requests; the lane follows "
@@ -83,8 +82,8 @@
 
 TEST_CASE("pattern: more long prompts than the fleet can read; what is taken is mostly in time")
 {
-    const std::vector<model::Served> served
-        = playUsual(steady(14, 3, 6), 15'000, model::Policy::Planner);
+    const std::vector<model::Served> served =
+        playUsual(steady(14, 3, 6), 15'000, model::Policy::Planner);
     CHECK(inTime(served, shortKind, warmUpMs, 15'000) >= 0.9);
     int taken = 0;
     int takenInTime = 0;
--- a/tests/parts/placement_planner_test.cpp
+++ b/tests/parts/placement_planner_test.cpp
@@ -184,8 +184,8 @@
     std::vector<Candidate> three = candidates(3);
     three[0].penalty = 1;
     three[2].mayReceive = false;
-    const std::optional<Plan> made = placement::planPlacement(
-        ledger, model::usualSpeed(), three, shortDemand(), { 20 }, 0_ms);
+    const std::optional<Plan> made =
+        placement::planPlacement(ledger, model::usualSpeed(), three, shortDemand(), { 20 }, 0_ms);
     REQUIRE(made.has_value());
     CHECK(made->engines.front() == 2);
 }
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,117 @@
+#include <doctest/doctest.h>
+
+#include "platform/documents.h"
+
+using namespace egretmount;
+using namespace egretmount::literals;
+
+TEST_CASE("a configuration is read into the project's terms")
+{
+    const auto read = platform::readConfiguration(
+        R"({"version":7,"routes":[{"name":"a","host":"h","prefix":"/p/","kind":"streaming",)"
+        R"("timeoutMs":10000,"sloMs":300,"priority":1,"backends":[{"service":"s","weight":90},)"
+        R"({"service":"t","weight":0}],"attempts":2,"public":true,"sticky":true,)"
+        R"("resumable":true,"gapTargetMs":250},{"name":"b","host":"h","prefix":"/q/",)"
+        R"("kind":"non_idempotent","timeoutMs":800,"sloMs":300,"service":"t","attempts":1}],)"
+        R"("services":[{"name":"s","healthPath":"/h","maxConns":304,"coldS":3.0,)"
+        R"("coldPerS":26.0,"engine":{"slots":16,"kvCapacityTokens":405000,"stride":34,)"
+        R"("step_ms":1.31,"per_seq_ms":0.5,"context_per_k":0.25,"read_per_s":154000.0,)"
+        R"("pairs_per_m":0.162,"chunk":2048,"usual":{"prompt":11,"answer":12},"hopMs":0.1}},)"
+        R"({"name":"t"}],"limits":{"headerBytes":16,"bodyBytes":32,"headerMs":3000,)"
+        R"("idleMs":15000},"tenants":[{"name":"n","keys":["k1","k2"],"priority":3}],)"
+        R"("unknown":{"new":1}})");
+    REQUIRE(read.has_value());
+    CHECK(read->version == 7);
+    REQUIRE(read->routes.size() == 2);
+    const fleet::Route &route = read->routes[0];
+    CHECK(route.repetition == fleet::Repetition::Stream);
+    CHECK(route.shares.size() == 1); // a weight of zero takes a service out
+    CHECK(route.timeout == 10'000_ms);
+    CHECK(route.latencyTarget == 300_ms);
+    CHECK(route.pauseTarget == 250_ms);
+    CHECK(route.maxTargets == 2);
+    CHECK(route.isResumable);
+    CHECK(route.isPublic);
+    CHECK(read->routes[1].repetition == fleet::Repetition::AtMostOnce);
+    CHECK_FALSE(read->routes[1].isPublic);
+    const fleet::ServiceSpec *service = fleet::findService(*read, ServiceId("s"));
+    REQUIRE(service != nullptr);
+    REQUIRE(service->engine.has_value());
+    CHECK(service->engine->readTokensPerMs == doctest::Approx(154));
+    CHECK(service->engine->stepsPerPass == 34);
+    CHECK(service->engine->memoryTokens == 405'000);
+    CHECK_FALSE(fleet::findService(*read, ServiceId("t"))->engine.has_value());
+    CHECK(read->limits.bodyBytes == 32);
+    CHECK(fleet::findTeam(*read, "k2")->id.value == "n");
+    CHECK(fleet::findTeam(*read, "k2")->rank == 3);
+}
+
+TEST_CASE("a configuration that lacks what is needed is refused with a reason")
+{
+    for (
+        const char *text : {
+            "",
+            "[]",
+            "{\"version\":1}",
+            "{\"version\":\"1\",\"routes\":[],\"services\":[]}",
+            R"({"version":1,"routes":[{"host":"h","prefix":"/","kind":"odd","service":"s"}],"services":[]})",
+            R"({"version":1,"routes":[{"host":"h","prefix":"/","kind":"idempotent"}],"services":[]})",
+            R"({"version":1,"routes":[7],"services":[]})",
+        }) {
+        CAPTURE(text);
+        const auto read = platform::readConfiguration(text);
+        REQUIRE_FALSE(read.has_value());
+        CHECK_FALSE(read.error().empty());
+    }
+}
+
+TEST_CASE("an entry of another writer names no target")
+{
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"draining",)"
+        R"("coldLeftMs":250,"sequence":4,"born":1700000000001})";
+    const auto entry = platform::readTargetEntry(TargetId("a"), good);
+    REQUIRE(entry.has_value());
+    CHECK(entry->isDraining);
+    CHECK(entry->coldLeft == 250_ms);
+    CHECK(entry->startedAt == 1'700'000'000'001);
+    for (const char *text : {
+             "",
+             "null",
+             "\xff\xfe",
+             R"({"service":1,"address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"})",
+             R"({"service":"s","address":"10.0.0.1","zone":"z","slots":6,"state":"ready"})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"6","state":"ready"})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":0,"state":"ready"})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"odd"})",
+             R"({"service":"s","address":"10.0.0.1:80","slots":6,"state":"ready"})",
+         }) {
+        CAPTURE(text);
+        CHECK_FALSE(platform::readTargetEntry(TargetId("a"), text).has_value());
+    }
+}
+
+TEST_CASE("a page of the store becomes changes; other keys are left out")
+{
+    const auto page = platform::readPage(
+        R"({"items":[{"key":"op/evacuate/z1","value":"e30=","revision":3},)"
+        R"({"key":"other/key","value":"e30=","revision":4},)"
+        R"({"key":"servers/i-1","value":"!!","revision":5},)"
+        R"({"key":"op/evacuate/z2","revision":6,"removed":true}],"hasMore":true,"at":9})");
+    REQUIRE(page.has_value());
+    CHECK(page->revision == 9);
+    CHECK(page->hasMore);
+    CHECK(page->lastKey == "op/evacuate/z2");
+    REQUIRE(page->changes.size() == 3);
+    CHECK(std::get<platform::EvacuationChanged>(page->changes[0]).isEvacuated);
+    CHECK(std::get<platform::TargetRemoved>(page->changes[1]).isUnreadable);
+    CHECK_FALSE(std::get<platform::EvacuationChanged>(page->changes[2]).isEvacuated);
+    CHECK_FALSE(platform::readPage("{}").has_value());
+    CHECK_FALSE(platform::readPage("{\"items\":[]}").has_value());
+}
+
+TEST_CASE("a directory answer names addresses and how long they hold")
+{
+    CHECK(platform::directoryBody({ "10.0.0.1:80" }, 2'000_ms)
+          == R"({"addresses":["10.0.0.1:80"],"ttlS":2})");
+}
--- /dev/null
+++ b/tests/platform/messages_test.cpp
@@ -0,0 +1,135 @@
+#include <doctest/doctest.h>
+
+#include "platform/messages.h"
+#include "platform/orders.h"
+#include "platform/settings.h"
+
+using namespace egretmount;
+using namespace egretmount::literals;
+
+namespace {
+
+http::RequestHead requestWith(http::Fields fields)
+{
+    return { "POST", "/p/x", 1, std::move(fields) };
+}
+
+} // namespace
+
+TEST_CASE("what a caller says is read once, what is unreadable stays empty")
+{
+    const platform::CallerFields fields =
+        platform::readCallerFields(requestWith({ { "request-id", "r" },
+                                                 { "Request-Deadline", "1500" },
+                                                 { "Authorization", "bearer key" },
+                                                 { "Token-Usage", "1460,80" },
+                                                 { "Last-Event-Id", "12" } }));
+    CHECK(fields.requestId == "r");
+    CHECK(fields.deadline == 1'500_ms);
+    CHECK(fields.key == "key");
+    CHECK(fields.promptTokens == 1'460);
+    CHECK(fields.answerTokens == 80);
+    CHECK(fields.lastEventId == "12");
+    const platform::CallerFields odd =
+        platform::readCallerFields(requestWith({ { "Request-Deadline", "soon" },
+                                                 { "Authorization", "Basic x" },
+                                                 { "Token-Usage", "-5,x" } }));
+    CHECK_FALSE(odd.deadline.has_value());
+    CHECK(odd.key.empty());
+    CHECK(odd.promptTokens == 0);
+    CHECK(odd.answerTokens == 0);
+}
+
+TEST_CASE("only stated words count as not executed")
+{
+    http::ResponseHead head;
+    head.status = 503;
+    CHECK_FALSE(platform::readAnswerFields(head).isDeclined);
+    head.fields = { { "Not-Executed", "1" }, { "At-Server", "10.0.0.2:80" } };
+    CHECK(platform::readAnswerFields(head).isDeclined);
+    CHECK(platform::readAnswerFields(head).faultyAddress == "10.0.0.2:80");
+    head.fields.clear();
+    head.status = 421;
+    CHECK(platform::readAnswerFields(head).isDeclined);
+    head.status = 504;
+    CHECK_FALSE(platform::readAnswerFields(head).isDeclined);
+}
+
+TEST_CASE("a target's load and idle time are read")
+{
+    http::ResponseHead head;
+    head.fields = { { "Server-Load", "3,2,8" }, { "Keep-Alive", "timeout=5, max=10" } };
+    CHECK(platform::readAnswerFields(head).inHand == 5);
+    CHECK(platform::readAnswerFields(head).idleTime == 5'000_ms);
+    head.fields = { { "Server-Load", "3" }, { "Keep-Alive", "max=10" } };
+    CHECK_FALSE(platform::readAnswerFields(head).inHand.has_value());
+    CHECK_FALSE(platform::readAnswerFields(head).idleTime.has_value());
+}
+
+TEST_CASE("a forwarded head replaces what only this system may say")
+{
+    platform::ForwardFields fields;
+    fields.target = TargetId("i-1");
+    fields.team = TeamId("t");
+    fields.timeLeft = 700_ms;
+    fields.resumeAfter = "7";
+    fields.helperNames = { "10.0.0.2:80/t1", "10.0.0.3:80" };
+    const std::string text =
+        platform::forwardedHead(requestWith({ { "Request-Id", "r" },
+                                              { "Tenant-Id", "forged" },
+                                              { "Request-Deadline", "99999" },
+                                              { "Last-Event-Id", "3" },
+                                              { "Content-Length", "9" },
+                                              { "Authorization", "Bearer k" } }),
+                                fields, 4);
+    CHECK(text
+          == "POST /p/x HTTP/1.1\r\nRequest-Id: r\r\nLast-Event-Id: 7\r\nRequest-Deadline: 700\r\n"
+             "Expected-Instance: i-1\r\nTenant-Id: t\r\nHelpers: 10.0.0.2:80/t1,10.0.0.3:80\r\n"
+             "Content-Length: 4\r\n\r\n");
+}
+
+TEST_CASE("when to come back is told in seconds with a fraction")
+{
+    std::string fields;
+    platform::appendRetryAfter(fields, 250_ms);
+    CHECK(fields == "Retry-After: 0.25\r\n");
+}
+
+TEST_CASE("only a clear answer to an order counts")
+{
+    CHECK(platform::outcomeOf(200) == platform::OrderOutcome::Done);
+    CHECK(platform::outcomeOf(409) == platform::OrderOutcome::Refused);
+    for (const int status : { 0, 202, 500, 503 })
+        CHECK(platform::outcomeOf(status) == platform::OrderOutcome::Unknown);
+    CHECK(platform::reserveBody("t1", 60'000, 3'000_ms)
+          == R"({"holdMs":3000,"id":"t1","operation":"reserve","tokens":60000})");
+    CHECK(platform::releaseBody("t1") == R"({"id":"t1","operation":"release"})");
+}
+
+TEST_CASE("the platform's settings are read; unknown fields are left alone")
+{
+    const auto settings = platform::parseSettings(
+        R"({"nodeName":"n1","ip":"10.1.0.40","zone":"z","region":"r","listenAddrs":{)"
+        R"("front":"10.1.0.40:8227","ready":"10.1.0.40:8220","control":"10.1.0.40:8229",)"
+        R"("directory":"10.1.0.40:8224"},"portRange":[7340,7355],"seeds":["10.2.0.29:8229"],)"
+        R"("contractParams":{"graceS":8,"budgetRatio":0.25,"budgetSlack":104,"ttl_max_s":1},)"
+        R"("platform":{"address":"10.200.1.7:8223"},"dataDir":null,"new":[]})");
+    REQUIRE(settings.has_value());
+    CHECK(settings->contacts == std::vector<std::string> { "10.2.0.29" });
+    CHECK(settings->shutdownGrace == 8'000_ms);
+    CHECK(settings->longestDirectoryLife == 1'000_ms);
+    CHECK(settings->retryBound.ratio == 0.25);
+    CHECK(settings->retryBound.slack == 104);
+    CHECK(settings->firstPeerPort == 7340);
+}
+
+TEST_CASE("settings that lack something say what to add")
+{
+    const auto settings = platform::parseSettings(
+        R"({"nodeName":"n1","zone":"z","listenAddrs":{},"platform":{"address":"a:1"}})");
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().find("ip") != std::string::npos);
+    CHECK(settings.error().find("add") != std::string::npos);
+    CHECK_FALSE(platform::parseSettings("[]").has_value());
+    CHECK_FALSE(platform::readSettings("/nonexistent").has_value());
+}
--- a/tests/processes/support/process.cpp
+++ b/tests/processes/support/process.cpp
@@ -27,6 +27,8 @@
     constexpr mode_t mode = 0644;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), flags, mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A listening socket of the test must not live on in the child once the test closes it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
