Add a fault soak of real processes; end a reactor in order

The first runs of the soak found a crash at the end of a process: what a reactor still holds may take back timers from its own destructor, from a table that was gone already.

Change: tests/soak runs instances as processes beside stand-ins of the platform, behind proxies that delay, reset, silence or pass one way only, with kills, stops, pauses and configurations that overlap; it checks what callers and targets see. The reactor empties its tables first.

--- a/apps/node/directory_service.cpp
+++ b/apps/node/directory_service.cpp
@@ -27,7 +27,7 @@
 {
     m_fleet = &m_registry.find<FleetService>();
     m_peers = &m_registry.find<PeerService>();
-    const fleet::InstanceSettings &settings = m_fleet->settings();
+    const instance::Settings &settings = m_fleet->settings();
     const net::Listener::Accept accept = [this](const Poco::Net::StreamSocket &socket) {
         net::ServerConnection::serve(m_reactor, socket, *this);
     };
@@ -54,7 +54,7 @@
 
 std::string DirectoryService::directoryAnswer() const
 {
-    const fleet::InstanceSettings &settings = m_fleet->settings();
+    const instance::Settings &settings = m_fleet->settings();
     const std::string port = settings.callerAddress.substr(settings.callerAddress.find(':'));
     std::vector<std::string> addresses;
     for (const std::string &host : m_peers->servingHosts())
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -17,9 +17,9 @@
 
 // An answer without events is passed on as a whole up to this size, so that a torn one can be
 // repeated; larger ones are passed on as they come.
-constexpr std::size_t maxBuffered = 256 * 1024;
+constexpr std::size_t maxBuffered = 256UL * 1024;
 // A caller that takes nothing while this much waits for it is broken off.
-constexpr std::size_t maxUnsent = 2 * 1024 * 1024;
+constexpr std::size_t maxUnsent = 2UL * 1024 * 1024;
 // Callers abandon a stream after the longest of this time, four latency targets and eight pauses.
 constexpr Milliseconds leastPatience = Milliseconds(2'000);
 constexpr int patienceTargets = 4;
--- a/apps/node/fleet_service.cpp
+++ b/apps/node/fleet_service.cpp
@@ -18,7 +18,7 @@
     return stableHash(id.value);
 }
 
-FleetService::FleetService(net::Reactor &reactor, fleet::InstanceSettings settings)
+FleetService::FleetService(net::Reactor &reactor, instance::Settings settings)
     : m_reactor(reactor)
     , m_settings(std::move(settings))
 { }
@@ -46,7 +46,7 @@
 {
     std::vector<TargetId> removed;
     for (const platform::RegistryChange &change : changes) {
-        if (const auto *removal = std::get_if<platform::TargetRemoved>(&change))
+        if (const platform::TargetRemoved *removal = std::get_if<platform::TargetRemoved>(&change))
             removed.push_back(removal->id);
     }
     if (fleet::looksLikeLapse(m_table, removed)) {
@@ -59,15 +59,18 @@
 
 void FleetService::apply(const platform::RegistryChange &change)
 {
-    if (const auto *written = std::get_if<platform::TargetWritten>(&change))
+    if (const platform::TargetWritten *written = std::get_if<platform::TargetWritten>(&change))
         noteEntry(written->entry);
-    else if (const auto *removed = std::get_if<platform::TargetRemoved>(&change))
+    else if (const platform::TargetRemoved *removed = std::get_if<platform::TargetRemoved>(&change))
         noteRemoval(*removed);
-    else if (const auto *configured = std::get_if<platform::ConfigurationWritten>(&change))
+    else if (const platform::ConfigurationWritten *configured =
+                 std::get_if<platform::ConfigurationWritten>(&change))
         applyConfiguration(configured->configuration);
-    else if (const auto *unreadable = std::get_if<platform::ConfigurationUnreadable>(&change))
+    else if (const platform::ConfigurationUnreadable *unreadable =
+                 std::get_if<platform::ConfigurationUnreadable>(&change))
         LOG(ERROR) << "fleet: configuration ignored reason=\"" << unreadable->reason << '"';
-    else if (const auto *evacuation = std::get_if<platform::EvacuationChanged>(&change))
+    else if (const platform::EvacuationChanged *evacuation =
+                 std::get_if<platform::EvacuationChanged>(&change))
         applyEvacuation(*evacuation);
 }
 
@@ -76,9 +79,10 @@
     std::vector<fleet::TargetEntry> entries;
     std::set<ZoneId> evacuated;
     for (const platform::RegistryChange &change : changes) {
-        if (const auto *written = std::get_if<platform::TargetWritten>(&change))
+        if (const platform::TargetWritten *written = std::get_if<platform::TargetWritten>(&change))
             entries.push_back(written->entry);
-        else if (const auto *evacuation = std::get_if<platform::EvacuationChanged>(&change))
+        else if (const platform::EvacuationChanged *evacuation =
+                     std::get_if<platform::EvacuationChanged>(&change))
             evacuated.insert(evacuation->zone);
         else
             apply(change);
--- a/apps/node/fleet_service.h
+++ b/apps/node/fleet_service.h
@@ -4,8 +4,8 @@
 #include <unordered_map>
 
 #include <egretmount/fleet/configuration.h>
-#include <egretmount/fleet/instance_settings.h>
 #include <egretmount/fleet/target_table.h>
+#include <egretmount/instance/settings.h>
 #include <egretmount/placement/ledger.h>
 
 #include "kernel/service.h"
@@ -20,13 +20,13 @@
 public:
     static constexpr std::string_view serviceName = "fleet";
 
-    FleetService(net::Reactor &reactor, fleet::InstanceSettings settings);
+    FleetService(net::Reactor &reactor, instance::Settings settings);
 
     std::string_view name() const override { return serviceName; }
     void start() override;
 
-    const fleet::InstanceSettings &settings() const { return m_settings; }
-    void setSettings(fleet::InstanceSettings settings) { m_settings = std::move(settings); }
+    const instance::Settings &settings() const { return m_settings; }
+    void setSettings(instance::Settings settings) { m_settings = std::move(settings); }
 
     /// @brief The configuration in force. @return Null until the first one has come.
     const std::shared_ptr<const fleet::Configuration> &configuration() const
@@ -63,7 +63,7 @@
     void tellEnded(const TargetId &id);
 
     net::Reactor &m_reactor;
-    fleet::InstanceSettings m_settings;
+    instance::Settings m_settings;
     std::shared_ptr<const fleet::Configuration> m_configuration;
     fleet::TargetTable m_table;
     std::unordered_map<placement::EngineKey, TargetId> m_ids;
--- a/apps/node/log_sink.cpp
+++ b/apps/node/log_sink.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::size_t maxPending = 256 * 1024; // some thousand lines
-constexpr std::size_t warningReserve = 32 * 1024; // for warnings and errors only
+constexpr std::size_t maxPending = 256UL * 1024; // some thousand lines
+constexpr std::size_t warningReserve = 32UL * 1024; // for warnings and errors only
 constexpr std::array<char, 4> severityLetters = { 'I', 'W', 'E', 'F' };
 
 } // namespace
--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -35,7 +35,7 @@
     google::AddLogSink(&sink);
 }
 
-int run(const std::string &path, const fleet::InstanceSettings &settings, LogSink &sink)
+int run(const std::string &path, const instance::Settings &settings, LogSink &sink)
 {
     net::Reactor reactor;
     kernel::Registry registry;
@@ -77,8 +77,7 @@
     node::LogSink sink;
     node::startLogging(argv[0], sink);
     const std::string path = FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings;
-    const tl::expected<fleet::InstanceSettings, std::string> settings =
-        platform::readSettings(path);
+    const tl::expected<instance::Settings, std::string> settings = platform::readSettings(path);
     if (!settings) {
         std::cerr << settings.error() << '\n';
         return kernel::exitBadSettings;
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -36,7 +36,7 @@
 // After the first word of another instance, the rest are heard of within a few messages.
 constexpr Milliseconds settlingTime = Milliseconds(60);
 constexpr Milliseconds longestSettling = Milliseconds(500); // nobody else may live
-constexpr std::size_t maxDatagram = 32 * 1024;
+constexpr std::size_t maxDatagram = 32UL * 1024;
 constexpr int receivesPerTurn = 64;
 // How long other instances keep off a target that does not answer here.
 constexpr Milliseconds distrustLife = Milliseconds(1'000);
@@ -196,7 +196,7 @@
     m_placement = &m_registry.find<PlacementService>();
     m_sync = &m_registry.find<RegistrySync>();
     m_targets = &m_registry.find<TargetPool>();
-    const fleet::InstanceSettings &settings = m_fleet->settings();
+    const instance::Settings &settings = m_fleet->settings();
     m_roster.self.host = settings.host;
     m_roster.self.incarnation =
         static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -158,6 +158,7 @@
         if (targets.empty())
             return Refusal { RefusalReason::NoTarget, noTargetDelay };
         std::vector<placement::Candidate> candidates;
+        candidates.reserve(targets.size());
         for (const fleet::Target *target : targets)
             candidates.push_back(candidateOf(*target, service, demand.weight));
         const std::optional<placement::Plan> plan =
--- a/apps/node/shutdown_service.cpp
+++ b/apps/node/shutdown_service.cpp
@@ -131,8 +131,7 @@
     if (text == m_settingsText)
         return;
     m_settingsText = text;
-    const tl::expected<fleet::InstanceSettings, std::string> settings =
-        platform::parseSettings(text);
+    const tl::expected<instance::Settings, std::string> settings = platform::parseSettings(text);
     if (!settings) {
         LOG(ERROR) << "settings: change ignored reason=\"" << settings.error() << '"';
         return;
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -11,7 +11,7 @@
 // A target on the same site accepts a connection within some milliseconds; one retransmitted
 // opening packet would take over a second, and another target serves the caller sooner.
 constexpr Milliseconds connectTime = Milliseconds(400);
-constexpr std::size_t maxHeadBytes = 64 * 1024;
+constexpr std::size_t maxHeadBytes = 64UL * 1024;
 
 } // namespace
 
--- a/include/egretmount/fleet/configuration.h
+++ b/include/egretmount/fleet/configuration.h
@@ -75,8 +75,8 @@
 /// @brief What a caller's connection may send, and how long it may take.
 struct CallerLimits
 {
-    std::size_t headerBytes = 16 * 1024; // in force until a configuration states others
-    std::size_t bodyBytes = 4 * 1024 * 1024;
+    std::size_t headerBytes = 16UL * 1024; // in force until a configuration states others
+    std::size_t bodyBytes = 4UL * 1024 * 1024;
     Milliseconds headerTime = Milliseconds(3'000);
     Milliseconds idleTime = Milliseconds(15'000);
 };
--- a/include/egretmount/fleet/instance_settings.h
+++ b/include/egretmount/instance/settings.h
@@ -8,10 +8,10 @@
 #include <egretmount/core/ids.h>
 #include <egretmount/limits/retry_budget.h>
 
-namespace egretmount::fleet {
+namespace egretmount::instance {
 
 /// @brief What one instance is told about itself and its surroundings when it starts.
-struct InstanceSettings
+struct Settings
 {
     std::string name;
     std::string host; ///< Own address without a port.
@@ -30,4 +30,4 @@
     limits::RetryBound retryBound;
 };
 
-} // namespace egretmount::fleet
+} // namespace egretmount::instance
--- a/src/daemon/net/http_call.cpp
+++ b/src/daemon/net/http_call.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr std::size_t maxHeadBytes = 64 * 1024;
-constexpr std::size_t maxBodyBytes = 16 * 1024 * 1024; // some pages of the largest listing
+constexpr std::size_t maxHeadBytes = 64UL * 1024;
+constexpr std::size_t maxBodyBytes = 16UL * 1024 * 1024; // some pages of the largest listing
 
 } // namespace
 
--- a/src/daemon/net/reactor.cpp
+++ b/src/daemon/net/reactor.cpp
@@ -1,6 +1,7 @@
 #include "net/reactor.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <Poco/Timespan.h>
 
@@ -13,6 +14,20 @@
 
 } // namespace
 
+Reactor::~Reactor()
+{
+    // What is dropped here may take back timers or stop watching sockets from its own destructor,
+    // so the tables must be whole until the last of it is gone.
+    while (!m_watchers.empty() || !m_timers.empty() || !m_deferred.empty()) {
+        const std::unordered_map<Poco::Net::SocketImpl *, std::shared_ptr<SocketWatcher>> watchers
+            = std::exchange(m_watchers, {});
+        const std::map<TimerKey, std::function<void()>, EarlierTimer> timers
+            = std::exchange(m_timers, {});
+        const std::vector<std::function<void()>> deferred = std::exchange(m_deferred, {});
+        m_timerTimes.clear();
+    }
+}
+
 void Reactor::watch(const Poco::Net::Socket &socket, int mode,
                     std::shared_ptr<SocketWatcher> watcher)
 {
--- a/src/daemon/net/reactor.h
+++ b/src/daemon/net/reactor.h
@@ -37,6 +37,8 @@
 {
 public:
     Reactor() = default;
+    ~Reactor();
+
     Reactor(const Reactor &) = delete;
     Reactor &operator=(const Reactor &) = delete;
 
--- a/src/daemon/net/server_connection.cpp
+++ b/src/daemon/net/server_connection.cpp
@@ -11,7 +11,7 @@
 // Idle connections live a little longer than the limit, so that this side never closes first.
 constexpr Milliseconds idleSlack = Milliseconds(500);
 // Bytes of later requests that are kept while one is answered.
-constexpr std::size_t maxReadAhead = 64 * 1024;
+constexpr std::size_t maxReadAhead = 64UL * 1024;
 
 } // namespace
 
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -25,7 +25,7 @@
 constexpr int keepAliveProbes = 2;
 // How long the peer may take to close after this side has.
 constexpr Milliseconds lingerTime = Milliseconds(1'000);
-constexpr std::size_t readSize = 16 * 1024; // bytes; most messages fit one read
+constexpr std::size_t readSize = 16UL * 1024; // bytes; most messages fit one read
 constexpr int readsPerTurn = 8; // leaves the loop to others while one peer sends much
 constexpr int backlog = 512; // connections of a herd of callers that come back at once
 
@@ -76,9 +76,9 @@
     return stream;
 }
 
-TcpStream::TcpStream(Reactor &reactor, Poco::Net::StreamSocket socket, StreamUser *user)
+TcpStream::TcpStream(Reactor &reactor, const Poco::Net::StreamSocket &socket, StreamUser *user)
     : m_reactor(reactor)
-    , m_socket(std::move(socket))
+    , m_socket(socket)
     , m_user(user)
 { }
 
@@ -278,9 +278,9 @@
     return listener;
 }
 
-Listener::Listener(Reactor &reactor, Poco::Net::ServerSocket socket, Accept accept)
+Listener::Listener(Reactor &reactor, const Poco::Net::ServerSocket &socket, Accept accept)
     : m_reactor(reactor)
-    , m_socket(std::move(socket))
+    , m_socket(socket)
     , m_accept(std::move(accept))
 { }
 
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -51,7 +51,7 @@
     static std::shared_ptr<TcpStream> adopt(Reactor &reactor, const Poco::Net::StreamSocket &socket,
                                             StreamUser *user);
 
-    TcpStream(Reactor &reactor, Poco::Net::StreamSocket socket, StreamUser *user);
+    TcpStream(Reactor &reactor, const Poco::Net::StreamSocket &socket, StreamUser *user);
     ~TcpStream() override;
 
     /// @brief Bytes received and not taken yet; the user erases what it takes.
@@ -116,7 +116,7 @@
     static std::shared_ptr<Listener> open(Reactor &reactor, const std::string &address,
                                           Accept accept);
 
-    Listener(Reactor &reactor, Poco::Net::ServerSocket socket, Accept accept);
+    Listener(Reactor &reactor, const Poco::Net::ServerSocket &socket, Accept accept);
 
     void close();
     void onReady(bool isReadable, bool isWritable, bool hasFailed) override;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -360,7 +360,7 @@
     markLane(loads, shortLaneSize(speed, outlook, static_cast<int>(loads.size())));
     Attempt attempt;
     attempt.isLongPrompt = !isShort(speed, demand.promptTokens);
-    const std::optional<Plan> plan = bestPlan(loads, speed, demand, attempt);
+    std::optional<Plan> plan = bestPlan(loads, speed, demand, attempt);
     if (plan || !attempt.isLongPrompt)
         return plan;
     attempt.usesTickets = true;
--- a/tests/node/repeats_test.cpp
+++ b/tests/node/repeats_test.cpp
@@ -16,7 +16,7 @@
 // The first arrival of each request meets `first`, later ones are answered.
 std::function<Script(const Arrival &)> failFirst(const Script &first)
 {
-    const auto seen = std::make_shared<std::set<std::string>>();
+    const std::shared_ptr<std::set<std::string>> seen = std::make_shared<std::set<std::string>>();
     return [first, seen](const Arrival &arrival) {
         if (seen->insert(arrival.requestId).second)
             return first;
--- a/tests/node/streams_test.cpp
+++ b/tests/node/streams_test.cpp
@@ -31,7 +31,7 @@
 
 std::function<Script(const Arrival &)> breakFirst(int after, bool inEvent, int events = 8)
 {
-    const auto seen = std::make_shared<std::set<std::string>>();
+    const std::shared_ptr<std::set<std::string>> seen = std::make_shared<std::set<std::string>>();
     return [=](const Arrival &arrival) {
         Script script;
         script.events = events;
@@ -173,7 +173,7 @@
 {
     Site site(subnet);
     REQUIRE(site.isReady);
-    const auto seen = std::make_shared<std::set<std::string>>();
+    const std::shared_ptr<std::set<std::string>> seen = std::make_shared<std::set<std::string>>();
     site.standIn.setScript([seen](const Arrival &arrival) {
         Script script;
         script.events = 6;
--- a/tests/node/support/nodes.cpp
+++ b/tests/node/support/nodes.cpp
@@ -34,7 +34,8 @@
     while (true) {
         const std::size_t end = m_input.find("\r\n\r\n");
         if (!reader && end != std::string::npos) {
-            const auto head = http::parseResponseHead(std::string_view(m_input).substr(0, end));
+            const tl::expected<http::ResponseHead, http::HeadProblem> head =
+                http::parseResponseHead(std::string_view(m_input).substr(0, end));
             if (!head)
                 return answer;
             m_input.erase(0, end + 4);
@@ -81,10 +82,12 @@
     return text + "\r\n" + body;
 }
 
-Nodes::Nodes(StandIn &standIn, int count, const std::string &logFile)
+Nodes::Nodes(StandIn &standIn, int count, const std::string &logFile,
+             const std::string &storeAddress)
     : m_standIn(standIn)
     , m_count(count)
     , m_logFile(logFile)
+    , m_storeAddress(storeAddress.empty() ? standIn.storeAddress() : storeAddress)
     , m_processes(static_cast<std::size_t>(count))
 {
     for (int i = 0; i < count; ++i)
@@ -125,7 +128,7 @@
          << "\",\"control\":\"" << host(index) << ":8229\",\"directory\":\""
          << directoryAddress(index) << "\"},\"portRange\":[7340,7355],\"seeds\":[" << seeds
          << "],\"contractParams\":{\"graceS\":3,\"budgetSlack\":104},\"platform\":{\"address\":\""
-         << m_standIn.storeAddress() << "\"}}";
+         << m_storeAddress << "\"}}";
     file.close();
     m_processes[static_cast<std::size_t>(index)] =
         Process("egretmount-node", { "--settings=" + path }, m_logFile);
--- a/tests/node/support/nodes.h
+++ b/tests/node/support/nodes.h
@@ -65,7 +65,9 @@
 class Nodes
 {
 public:
-    Nodes(StandIn &standIn, int count, const std::string &logFile);
+    /// @param storeAddress Empty: the stand-in's own.
+    Nodes(StandIn &standIn, int count, const std::string &logFile,
+          const std::string &storeAddress = {});
 
     std::string callerAddress(int index) const;
     std::string directoryAddress(int index) const;
@@ -92,6 +94,7 @@
     StandIn &m_standIn;
     int m_count;
     std::string m_logFile;
+    std::string m_storeAddress;
     std::vector<Process> m_processes;
 };
 
--- a/tests/node/support/standin.cpp
+++ b/tests/node/support/standin.cpp
@@ -72,7 +72,8 @@
             const std::size_t end = input.find("\r\n\r\n");
             if (end == std::string::npos)
                 return;
-            const auto head = http::parseRequestHead(std::string_view(input).substr(0, end));
+            const tl::expected<http::RequestHead, http::HeadProblem> head =
+                http::parseRequestHead(std::string_view(input).substr(0, end));
             if (!head) {
                 reset();
                 return;
@@ -233,7 +234,7 @@
 class StandIn::Target
 {
 public:
-    Target(StandIn &owner, std::string id, const std::string &address)
+    Target(StandIn &owner, const std::string &id, const std::string &address)
     {
         m_listener = net::Listener::open(
             owner.m_reactor, address, [this, &owner, id](const Poco::Net::StreamSocket &socket) {
@@ -441,8 +442,9 @@
     call([&] {
         entry.set("service", m_services.at(number));
         entry.set("zone", m_zones.at(number));
+        const std::string &other = m_entryAddresses[number];
+        entry.set("address", other.empty() ? address(100 + number, 8080) : other);
     });
-    entry.set("address", address(100 + number, 8080));
     entry.set("version", "v1");
     entry.set("slots", 16);
     entry.set("state", state);
@@ -454,6 +456,11 @@
     put("servers/" + targetId(number), text.str());
 }
 
+void StandIn::setEntryAddress(int number, const std::string &address)
+{
+    call([&] { m_entryAddresses[number] = address; });
+}
+
 void StandIn::removeEntry(int number)
 {
     remove("servers/" + targetId(number));
--- a/tests/node/support/standin.h
+++ b/tests/node/support/standin.h
@@ -78,6 +78,9 @@
     void writeEntry(int number, const std::string &state);
     void removeEntry(int number);
 
+    /// @brief From now on a target's entries name another address, such as a proxy's.
+    void setEntryAddress(int number, const std::string &address);
+
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
     void setStoreMode(StoreMode mode);
@@ -124,6 +127,7 @@
     std::map<int, std::shared_ptr<Target>> m_targets;
     std::map<int, std::string> m_services;
     std::map<int, std::string> m_zones;
+    std::map<int, std::string> m_entryAddresses;
     std::unique_ptr<Store> m_store;
     std::map<std::string, Item> m_items;
     long m_revision = 1;
@@ -131,7 +135,6 @@
     std::atomic<int> m_abandoned = 0;
     std::atomic<int> m_storeCalls = 0;
     std::atomic<int> m_connections = 0;
-    bool m_isEnding = false;
 };
 
 } // namespace egretmount::tests
--- a/tests/parts/limits_test.cpp
+++ b/tests/parts/limits_test.cpp
@@ -28,6 +28,7 @@
 std::vector<InstanceId> instances(int count)
 {
     std::vector<InstanceId> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         made.emplace_back("10.0.0." + std::to_string(i));
     return made;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -7,7 +7,7 @@
 
 TEST_CASE("a configuration is read into the project's terms")
 {
-    const auto read = platform::readConfiguration(
+    const tl::expected<fleet::Configuration, std::string> read = platform::readConfiguration(
         R"({"version":7,"routes":[{"name":"a","host":"h","prefix":"/p/","kind":"streaming",)"
         R"("timeoutMs":10000,"sloMs":300,"priority":1,"backends":[{"service":"s","weight":90},)"
         R"({"service":"t","weight":0}],"attempts":2,"public":true,"sticky":true,)"
@@ -59,7 +59,8 @@
             R"({"version":1,"routes":[7],"services":[]})",
         }) {
         CAPTURE(text);
-        const auto read = platform::readConfiguration(text);
+        const tl::expected<fleet::Configuration, std::string> read =
+            platform::readConfiguration(text);
         REQUIRE_FALSE(read.has_value());
         CHECK_FALSE(read.error().empty());
     }
@@ -70,7 +71,7 @@
     const std::string good =
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"draining",)"
         R"("coldLeftMs":250,"sequence":4,"born":1700000000001})";
-    const auto entry = platform::readTargetEntry(TargetId("a"), good);
+    const std::optional<fleet::TargetEntry> entry = platform::readTargetEntry(TargetId("a"), good);
     REQUIRE(entry.has_value());
     CHECK(entry->isDraining);
     CHECK(entry->coldLeft == 250_ms);
@@ -93,7 +94,7 @@
 
 TEST_CASE("a page of the store becomes changes; other keys are left out")
 {
-    const auto page = platform::readPage(
+    const std::optional<platform::RegistryPage> page = platform::readPage(
         R"({"items":[{"key":"op/evacuate/z1","value":"e30=","revision":3},)"
         R"({"key":"other/key","value":"e30=","revision":4},)"
         R"({"key":"servers/i-1","value":"!!","revision":5},)"
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -108,7 +108,7 @@
 
 TEST_CASE("the platform's settings are read; unknown fields are left alone")
 {
-    const auto settings = platform::parseSettings(
+    const tl::expected<instance::Settings, std::string> settings = platform::parseSettings(
         R"({"nodeName":"n1","ip":"10.1.0.40","zone":"z","region":"r","listenAddrs":{)"
         R"("front":"10.1.0.40:8227","ready":"10.1.0.40:8220","control":"10.1.0.40:8229",)"
         R"("directory":"10.1.0.40:8224"},"portRange":[7340,7355],"seeds":["10.2.0.29:8229"],)"
@@ -125,7 +125,7 @@
 
 TEST_CASE("settings that lack something say what to add")
 {
-    const auto settings = platform::parseSettings(
+    const tl::expected<instance::Settings, std::string> settings = platform::parseSettings(
         R"({"nodeName":"n1","zone":"z","listenAddrs":{},"platform":{"address":"a:1"}})");
     REQUIRE_FALSE(settings.has_value());
     CHECK(settings.error().find("ip") != std::string::npos);
--- /dev/null
+++ b/tests/platform/reactor_test.cpp
@@ -0,0 +1,82 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+
+#include "net/reactor.h"
+#include "net/tcp_stream.h"
+
+using namespace egretmount;
+using namespace egretmount::literals;
+
+namespace {
+
+class Quiet : public net::StreamUser
+{
+    void onBytes() override { }
+    void onEnd(net::StreamEnd) override { }
+};
+
+} // namespace
+
+TEST_CASE("timers run in order, and not after they were taken back")
+{
+    net::Reactor reactor;
+    std::string order;
+    reactor.after(20_ms, [&] { order += 'b'; });
+    reactor.after(5_ms, [&] { order += 'a'; });
+    net::TimerId taken = reactor.after(10_ms, [&] { order += 'x'; });
+    reactor.cancel(taken);
+    CHECK(taken == 0);
+    reactor.after(30_ms, [&] { reactor.stop(); });
+    reactor.run();
+    CHECK(order == "ab");
+}
+
+TEST_CASE("a reactor that ends drops what still refers to it")
+{
+    Quiet user;
+    std::weak_ptr<net::TcpStream> dropped;
+    for (int i = 0; i < 20; ++i) {
+        net::Reactor reactor;
+        const std::shared_ptr<net::Listener> listener = net::Listener::open(
+            reactor, "127.0.0.1:0", [](const Poco::Net::StreamSocket &) { });
+        // Held by a timer, with a timer of its own, and watched: each refers to the others' tables.
+        const std::shared_ptr<net::TcpStream> stream
+            = net::TcpStream::connect(reactor, "127.0.0.1:1", &user);
+        reactor.after(10'000_ms, [stream] { stream->close(); });
+        dropped = stream;
+        stream->closeGently();
+        reactor.defer([&reactor] { reactor.stop(); });
+        reactor.run();
+    }
+    CHECK(dropped.expired());
+}
+
+TEST_CASE("a refused connection is told, never during the call")
+{
+    class Teller : public net::StreamUser
+    {
+    public:
+        explicit Teller(net::Reactor &reactor)
+            : m_reactor(reactor)
+        { }
+        bool hasEnded = false;
+
+    private:
+        void onBytes() override { }
+        void onEnd(net::StreamEnd end) override
+        {
+            hasEnded = end == net::StreamEnd::Reset;
+            m_reactor.stop();
+        }
+        net::Reactor &m_reactor;
+    };
+    net::Reactor reactor;
+    Teller teller(reactor);
+    const std::shared_ptr<net::TcpStream> stream
+        = net::TcpStream::connect(reactor, "127.0.0.1:1", &teller);
+    CHECK_FALSE(teller.hasEnded);
+    reactor.after(2'000_ms, [&] { reactor.stop(); });
+    reactor.run();
+    CHECK(teller.hasEnded);
+}
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,384 @@
+// Runs real instances beside stand-ins of the platform, harms them from outside, and checks the
+// promises to callers and targets. One seed a run; everything random comes from it.
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <random>
+#include <set>
+#include <thread>
+
+#include <Poco/Exception.h>
+#include <gflags/gflags.h>
+
+#include "fault_proxy.h"
+#include "support/nodes.h"
+#include "support/standin.h"
+
+DEFINE_uint64(seed, 1, "Everything random of the run comes from it");
+DEFINE_int32(seconds, 15, "How long faults come");
+DEFINE_int32(instances, 4, "Instances of egretmount");
+DEFINE_int32(targets, 8, "Targets, two of three of them engines");
+DEFINE_int32(callers, 12, "Callers that ask at the same time");
+DEFINE_int32(subnet, 60, "Third number of the loopback addresses; another one for runs side by side");
+DEFINE_string(log, "/tmp/egretmount-soak.log", "Where the instances' logs go");
+
+namespace egretmount::soak {
+
+namespace {
+
+using namespace tests;
+
+constexpr int storeProxyHost = 251;
+constexpr int firstAppTarget = 60;
+// Time-out of the routes, and what the platform allows beyond it.
+constexpr Milliseconds routeTimeout = Milliseconds(2'000);
+constexpr Milliseconds answerSlack = Milliseconds(500);
+// What a test machine that runs many processes may add to any answer.
+constexpr Milliseconds machineSlack = Milliseconds(700);
+// A directory may name a dead instance for so long.
+constexpr Milliseconds directoryBound = Milliseconds(6'000);
+constexpr double budgetRatio = 0.2;
+constexpr double budgetSlack = 104;
+
+struct Request
+{
+    std::string id;
+    std::string route;
+    int instance = 0;
+    Milliseconds sentAt;
+    Milliseconds endedAt;
+    Answer answer;
+};
+
+// When an instance was harmed; requests that touch such a time may end without an answer.
+struct Harm
+{
+    int instance = 0;
+    Milliseconds from;
+    Milliseconds to;
+};
+
+class Soak
+{
+public:
+    Soak()
+        : m_random(FLAGS_seed)
+        , m_standIn(FLAGS_subnet)
+    {
+        m_standIn.put("op/config", usualConfiguration(m_version));
+        m_standIn.setScript([this](const Arrival &arrival) { return scriptOf(arrival); });
+        const int engines = FLAGS_targets * 2 / 3;
+        for (int i = 0; i < FLAGS_targets; ++i) {
+            const bool isEngine = i < engines;
+            const int number = isEngine ? i + 1 : firstAppTarget + i;
+            const std::string proxyAddress = m_standIn.address(100 + number, 9090);
+            m_targets.push_back(number);
+            m_targetProxies.push_back(
+                m_proxies.add(proxyAddress, m_standIn.address(100 + number, 8080)));
+            m_standIn.setEntryAddress(number, proxyAddress);
+            m_standIn.addTarget(number, isEngine ? "llm" : "app");
+        }
+        const std::string storeAddress = m_standIn.address(storeProxyHost, 8223);
+        m_storeProxy = m_proxies.add(storeAddress, m_standIn.storeAddress());
+        m_nodes = std::make_unique<Nodes>(m_standIn, FLAGS_instances, FLAGS_log, storeAddress);
+    }
+
+    int run()
+    {
+        if (!m_nodes->waitReady(static_cast<std::size_t>(FLAGS_instances))) {
+            std::cout << "the instances did not become ready\n";
+            return 1;
+        }
+        std::vector<std::thread> callers;
+        for (int i = 0; i < FLAGS_callers; ++i)
+            callers.emplace_back([this, i] { call(i); });
+        harm();
+        heal();
+        m_isOver = true;
+        for (std::thread &caller : callers)
+            caller.join();
+        checkRecovery();
+        check();
+        for (const std::string &problem : m_problems)
+            std::cout << "broken: " << problem << '\n';
+        std::cout << "seed " << FLAGS_seed << ": " << m_requests.size() << " requests, "
+                  << m_standIn.arrivals().size() << " arrivals, " << m_faults << " faults, "
+                  << m_problems.size() << " broken promises\n";
+        return m_problems.empty() ? 0 : 1;
+    }
+
+private:
+    int draw(int below) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(below)); }
+
+    // Decided by the request's id alone, so that a run repeats whatever the threads do.
+    static Script scriptOf(const Arrival &arrival)
+    {
+        const std::size_t dice = std::hash<std::string>()(arrival.requestId + arrival.target) % 100;
+        Script script;
+        script.events = arrival.head.target.find("/stream/") == 0 ? 12 : 0;
+        script.gap = Milliseconds(40);
+        script.body = "answer to " + arrival.requestId;
+        script.declines = dice < 4;
+        script.sendsExtra = dice >= 4 && dice < 8;
+        script.namesAnother = dice == 8;
+        script.sendsGarbage = dice == 9;
+        if (dice >= 10 && dice < 16)
+            script.breakAfter = script.events > 0 ? static_cast<int>(dice) % 5 : 0;
+        script.breaksInEvent = dice % 2 == 0;
+        if (dice >= 16 && dice < 20 && script.events == 0)
+            script.status = 500;
+        return script;
+    }
+
+    void call(int caller)
+    {
+        std::mt19937_64 random(FLAGS_seed * 1'000 + static_cast<std::uint64_t>(caller));
+        static constexpr const char *routes[] = { "stream", "read", "pay" };
+        for (int i = 0; !m_isOver; ++i) {
+            Request request;
+            request.id = "c" + std::to_string(caller) + '-' + std::to_string(i);
+            request.route = routes[random() % 3];
+            request.instance = static_cast<int>(random() % static_cast<std::uint64_t>(FLAGS_instances));
+            CallerRequest sent;
+            sent.id = request.id;
+            sent.target = '/' + request.route + "/x";
+            sent.body = "body of " + request.id;
+            sent.deadlineMs = 4'000;
+            if (request.route != "stream")
+                sent.tokens.clear();
+            request.sentAt = monotonicNow();
+            try {
+                request.answer = m_nodes->ask(request.instance, sent, Milliseconds(6'000));
+            } catch (const Poco::Exception &) {
+                request.answer.status = 0; // not listening: nothing was sent
+            }
+            request.endedAt = monotonicNow();
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_requests.push_back(request);
+        }
+    }
+
+    void noteHarm(int instance, Milliseconds from)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_harms.push_back({ instance, from, monotonicNow() });
+    }
+
+    static void pause(int milliseconds)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+    }
+
+    // Faults in two threads, so that they overlap.
+    void harm()
+    {
+        const Milliseconds end = monotonicNow() + Milliseconds(FLAGS_seconds * 1'000);
+        const std::uint64_t seed = m_random();
+        std::thread links([this, end, seed] { harmLinks(end, seed); });
+        while (monotonicNow() < end) {
+            harmInstance();
+            pause(200 + draw(900));
+        }
+        links.join();
+    }
+
+    void harmInstance()
+    {
+        ++m_faults;
+        const int instance = draw(FLAGS_instances);
+        Process &process = m_nodes->process(instance);
+        const Milliseconds from = monotonicNow();
+        switch (draw(4)) {
+        case 0:
+            process.kill();
+            pause(100 + draw(1'200));
+            m_nodes->start(instance);
+            break;
+        case 1:
+            process.signal(SIGSTOP);
+            pause(300 + draw(2'200));
+            process.signal(SIGCONT);
+            break;
+        case 2:
+            process.signal(SIGTERM);
+            pause(draw(400));
+            process.signal(SIGTERM); // a second signal changes nothing
+            process.wait();
+            m_nodes->start(instance);
+            break;
+        default:
+            m_version += 1 + draw(5);
+            m_standIn.put("op/config",
+                          usualConfiguration(m_version, "extra" + std::to_string(m_version)));
+            return;
+        }
+        noteHarm(instance, from);
+        checkDirectories();
+    }
+
+    void harmLinks(Milliseconds end, std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        static constexpr ProxyMode modes[] = { ProxyMode::Delay, ProxyMode::Reset,
+                                               ProxyMode::Silence, ProxyMode::Deaf };
+        while (monotonicNow() < end) {
+            ++m_faults;
+            const ProxyMode mode = modes[random() % 4];
+            const std::size_t count = 1 + random() % 2;
+            std::vector<int> harmed;
+            for (std::size_t i = 0; i < count; ++i) {
+                const std::size_t which = random() % (m_targetProxies.size() + 1);
+                harmed.push_back(which < m_targetProxies.size() ? m_targetProxies[which]
+                                                                : m_storeProxy);
+                m_proxies.setMode(harmed.back(), mode);
+            }
+            pause(200 + static_cast<int>(random() % 2'000));
+            for (const int proxy : harmed)
+                m_proxies.setMode(proxy, ProxyMode::Pass);
+            pause(static_cast<int>(random() % 600));
+        }
+    }
+
+    void heal()
+    {
+        for (const int proxy : m_targetProxies)
+            m_proxies.setMode(proxy, ProxyMode::Pass);
+        m_proxies.setMode(m_storeProxy, ProxyMode::Pass);
+        pause(4'000);
+    }
+
+    // No living instance names one that has been dead for longer than the bound. Instances are
+    // restarted sooner than that here, so one is kept dead now and then.
+    void checkDirectories()
+    {
+        if (draw(6) != 0)
+            return;
+        const int dead = draw(FLAGS_instances);
+        const Milliseconds from = monotonicNow();
+        m_nodes->process(dead).kill();
+        pause(static_cast<int>(directoryBound.count()));
+        for (int i = 0; i < FLAGS_instances; ++i) {
+            const std::vector<std::string> named = m_nodes->directory(i);
+            if (i != dead
+                && std::find(named.begin(), named.end(), m_nodes->callerAddress(dead)) != named.end())
+                m_problems.push_back("instance " + std::to_string(i) + " still names a dead one");
+        }
+        m_nodes->start(dead);
+        noteHarm(dead, from);
+    }
+
+    void checkRecovery()
+    {
+        for (int i = 0; i < FLAGS_instances; ++i) {
+            int served = 0;
+            for (int k = 0; k < 8; ++k) {
+                CallerRequest request;
+                request.id = "after-" + std::to_string(i) + '-' + std::to_string(k);
+                request.target = "/read/x";
+                request.tokens.clear();
+                try {
+                    served += m_nodes->ask(i, request).status == 200 ? 1 : 0;
+                } catch (const Poco::Exception &error) {
+                    std::cout << "instance " << i << ": " << error.displayText() << '\n';
+                }
+            }
+            if (served < 4)
+                m_problems.push_back("instance " + std::to_string(i) + " does not serve after all");
+        }
+    }
+
+    bool wasHarmed(const Request &request) const
+    {
+        return std::any_of(m_harms.begin(), m_harms.end(), [&](const Harm &harm) {
+            return harm.instance == request.instance && harm.from <= request.endedAt
+                && request.sentAt <= harm.to + Milliseconds(1'000);
+        });
+    }
+
+    void check()
+    {
+        std::map<std::string, int> ran;
+        std::map<std::string, int> reached;
+        std::set<std::string> known;
+        for (const Request &request : m_requests)
+            known.insert(request.id);
+        std::size_t repeats = 0;
+        for (const Arrival &arrival : m_standIn.arrivals()) {
+            ran[arrival.requestId] += arrival.ran ? 1 : 0;
+            repeats += ++reached[arrival.requestId] > 1 ? 1 : 0;
+            const bool isOwn = known.count(arrival.requestId) > 0
+                || arrival.requestId.find("after-") == 0;
+            if (!isOwn || (known.count(arrival.requestId) > 0
+                           && arrival.body != "body of " + arrival.requestId))
+                m_problems.push_back("a target got a request that nobody sent: " + arrival.requestId);
+        }
+        if (static_cast<double>(repeats)
+            > budgetRatio * static_cast<double>(m_requests.size()) + budgetSlack)
+            m_problems.push_back("repeats beyond the budget: " + std::to_string(repeats));
+        for (const Request &request : m_requests)
+            checkRequest(request, ran[request.id]);
+    }
+
+    void checkRequest(const Request &request, int ran)
+    {
+        const Answer &answer = request.answer;
+        const std::string name = request.id + " (" + request.route + ", status "
+            + std::to_string(answer.status) + ")";
+        if (request.route == "pay" && ran > 1)
+            m_problems.push_back("ran twice: " + name);
+        if (request.route != "read" && ran > 2)
+            m_problems.push_back("ran on more targets than allowed: " + name);
+        const bool saysNotRun = answer.status == 503 || answer.status == 429
+            || answer.status == 408 || answer.status == 421;
+        if (saysNotRun && ran > 0 && request.route == "pay")
+            m_problems.push_back("said not to have run and ran: " + name);
+        if (answer.status == 400 || answer.status == 401 || answer.status == 404)
+            m_problems.push_back("a proper request was denied: " + name);
+        if (answer.status == 200 && answer.isComplete && answer.body != expectedBody(request))
+            m_problems.push_back("a wrong answer looked complete: " + name + ": " + answer.body);
+        const Milliseconds taken = request.endedAt - request.sentAt;
+        if (!wasHarmed(request) && taken > routeTimeout + answerSlack + machineSlack)
+            m_problems.push_back("no final answer in time: " + name + " after "
+                                 + std::to_string(taken.count()) + " ms");
+    }
+
+    static std::string expectedBody(const Request &request)
+    {
+        if (request.route != "stream")
+            return "answer to " + request.id;
+        std::string text;
+        for (int i = 1; i <= 12; ++i)
+            text += "id: " + std::to_string(i) + "\ndata: event " + std::to_string(i) + "\n\n";
+        return text;
+    }
+
+    std::mt19937_64 m_random;
+    StandIn m_standIn;
+    FaultProxies m_proxies;
+    std::unique_ptr<Nodes> m_nodes;
+    std::vector<int> m_targets;
+    std::vector<int> m_targetProxies;
+    int m_storeProxy = 0;
+    int m_version = 1;
+    std::atomic<bool> m_isOver = false;
+    std::atomic<int> m_faults = 0;
+    std::mutex m_mutex;
+    std::vector<Request> m_requests; // guarded by m_mutex while callers run
+    std::vector<Harm> m_harms; // guarded by m_mutex while callers run
+    std::vector<std::string> m_problems;
+};
+
+} // namespace
+
+} // namespace egretmount::soak
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("harms real instances for a while and checks their promises");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return egretmount::soak::Soak().run();
+}
