--- a/apps/cli/command.cpp
+++ b/apps/cli/command.cpp
@@ -36,6 +36,8 @@
           runStatus },
         { "explain", "ADDRESS SERVICE TOKENS", "prints why a request would go where it goes", 3,
           runExplain },
+        { "explain-log", "ID FILE...", "follows one request through the logs of instances", 2,
+          runExplainLog },
     };
     return all;
 }
--- a/apps/cli/command.h
+++ b/apps/cli/command.h
@@ -60,6 +60,7 @@
 int runLocate(const std::vector<std::string> &arguments);
 int runStatus(const std::vector<std::string> &arguments);
 int runExplain(const std::vector<std::string> &arguments);
+int runExplainLog(const std::vector<std::string> &arguments);
 int runTokenHash(const std::vector<std::string> &arguments);
 
 } // namespace egretmount::cli
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -6,6 +6,7 @@
 
 #include "fleet_service.h"
 #include "ingress_service.h"
+#include "metrics_service.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -43,6 +44,11 @@
 constexpr Milliseconds stoppingDelay = Milliseconds(50);
 constexpr Milliseconds unknownConfigurationDelay = Milliseconds(500);
 
+double secondsOf(Milliseconds time)
+{
+    return static_cast<double>(time.count()) / 1'000;
+}
+
 std::string joined(const std::vector<TargetId> &ids)
 {
     std::string text;
@@ -390,6 +396,7 @@
     const bool isRepeat = m_history.sends > 0;
     const bool isAllowed = isSendAgain && timeLeft() > Milliseconds()
                            && (!isRepeat || m_services.ingress.takeRepeat(m_service->id));
+    m_services.metrics.countSendFailure(m_placement.target.id, failure);
     LOG(INFO) << "exchange: send failed id=" << m_caller.requestId
               << " target=" << m_placement.target.id.value << " failure=" << nameOf(failure)
               << " reused=" << m_send.isReused() << " sends=" << m_history.sends
@@ -574,6 +581,16 @@
               << " first_ms=" << first.count() << " expected_ms=" << m_placement.expectedMs
               << " longest_pause_ms=" << m_longestPause.count()
               << " total_ms=" << (now - m_arrivedAt).count();
+    RequestSummary summary;
+    summary.team = m_team;
+    if (m_route != nullptr)
+        summary.kind = m_route->repetition;
+    summary.status = status;
+    summary.outcome = outcome;
+    summary.firstSeconds = secondsOf(first);
+    summary.longestPauseSeconds = secondsOf(m_longestPause);
+    summary.totalSeconds = secondsOf(now - m_arrivedAt);
+    m_services.metrics.countRequest(summary);
     const std::shared_ptr<Exchange> self = weak_from_this().lock();
     m_services.reactor.defer([self] {});
     m_services.ingress.forget(*this);
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -16,6 +16,7 @@
 namespace egretmount::node {
 
 class IngressService;
+class MetricsService;
 class TargetPool;
 
 /// @brief The services that an exchange uses.
@@ -25,6 +26,7 @@
     PlacementService &placement;
     TargetPool &targets;
     IngressService &ingress;
+    MetricsService &metrics;
 };
 
 /// @brief One request of a caller, from its whole arrival to its final answer.
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "fleet_service.h"
+#include "metrics_service.h"
 #include "peer_service.h"
 #include "placement_service.h"
 #include "target_pool.h"
@@ -33,6 +34,8 @@
     m_peers = &m_registry.find<PeerService>();
     m_placement = &m_registry.find<PlacementService>();
     m_targets = &m_registry.find<TargetPool>();
+    m_metrics = &m_registry.find<MetricsService>();
+    addGauges();
     m_listener = net::Listener::open(
         m_reactor, m_fleet->settings().callerAddress,
         [this](const Poco::Net::StreamSocket &socket) {
@@ -47,6 +50,20 @@
     });
 }
 
+void IngressService::addGauges()
+{
+    m_metrics->addGauge("requests_in_hand",
+                        [this] { return static_cast<double>(m_exchanges.size()); });
+    m_metrics->addGauge("living_instances",
+                        [this] { return static_cast<double>(m_peers->livingCount()); });
+    m_metrics->addGauge("configuration_version", [this] {
+        return m_fleet->configuration() ? static_cast<double>(m_fleet->configuration()->version)
+                                        : 0;
+    });
+    m_metrics->addGauge("targets",
+                        [this] { return static_cast<double>(m_fleet->table().targets.size()); });
+}
+
 void IngressService::stopAccepting()
 {
     m_isStopping = true;
@@ -101,9 +118,9 @@
         LOG(INFO) << "ingress: refused status=503 reason=\"stopping\"";
         return;
     }
-    const std::shared_ptr<Exchange> exchange =
-        std::make_shared<Exchange>(ExchangeServices { m_reactor, *m_placement, *m_targets, *this },
-                                   connection, std::move(head), std::move(body));
+    const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
+        ExchangeServices { m_reactor, *m_placement, *m_targets, *this, *m_metrics }, connection,
+        std::move(head), std::move(body));
     m_exchanges.emplace(exchange.get(), exchange);
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
     exchange->start(m_fleet->configuration(), draw);
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -14,6 +14,7 @@
 namespace egretmount::node {
 
 class FleetService;
+class MetricsService;
 class PeerService;
 class PlacementService;
 class TargetPool;
@@ -62,12 +63,15 @@
     fleet::CallerLimits limits() const override;
     bool isStopping() const override { return m_isStopping; }
 
+    void addGauges();
+
     net::Reactor &m_reactor;
     kernel::Registry &m_registry;
     FleetService *m_fleet = nullptr;
     PeerService *m_peers = nullptr;
     PlacementService *m_placement = nullptr;
     TargetPool *m_targets = nullptr;
+    MetricsService *m_metrics = nullptr;
     std::shared_ptr<net::Listener> m_listener;
     std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> m_exchanges;
     std::vector<std::weak_ptr<net::ServerConnection>> m_connections;
--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -10,6 +10,7 @@
 #include "ingress_service.h"
 #include "kernel/settings.h"
 #include "log_sink.h"
+#include "metrics_service.h"
 #include "peer_service.h"
 #include "placement_service.h"
 #include "platform/settings.h"
@@ -18,6 +19,7 @@
 #include "target_pool.h"
 
 DEFINE_string(settings, "", "The platform's settings file; empty: the one that the platform names");
+DEFINE_int32(metrics_port, 0, "Where metrics are served, under /metrics; 0: nowhere");
 DEFINE_bool(check, false, "Check the settings, print what is wrong with them, and end");
 
 namespace egretmount::node {
@@ -40,6 +42,9 @@
     net::Reactor reactor;
     kernel::Registry registry;
     registry.add(std::make_unique<FleetService>(reactor, settings));
+    MetricsService &metrics =
+        registry.add(std::make_unique<MetricsService>(reactor, registry, FLAGS_metrics_port));
+    metrics.addGauge("log_lines_dropped", [&sink] { return static_cast<double>(sink.dropped()); });
     registry.add(std::make_unique<TargetPool>(reactor, registry));
     registry.add(std::make_unique<PlacementService>(reactor, registry));
     registry.add(std::make_unique<PeerService>(reactor, registry));
@@ -48,7 +53,8 @@
     registry.add(std::make_unique<DirectoryService>(reactor, registry));
     registry.add(std::make_unique<ShutdownService>(reactor, registry, path));
     LOG(INFO) << "node: starting instance=" << settings.name << " host=" << settings.host
-              << " zone=" << settings.zone.value;
+              << " zone=" << settings.zone.value << " peer_ports=" << settings.firstPeerPort << '-'
+              << settings.lastPeerPort;
     try {
         registry.startAll();
     } catch (const std::exception &error) {
--- /dev/null
+++ b/apps/node/metrics_service.cpp
@@ -0,0 +1,142 @@
+#include "metrics_service.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include <Poco/Exception.h>
+#include <glog/logging.h>
+
+#include "fleet_service.h"
+
+namespace egretmount::node {
+
+namespace {
+
+// Teams and targets with rows of their own; the rest share one. Bounds memory and the page.
+constexpr std::size_t maxTeams = 64;
+constexpr std::size_t maxTargets = 256;
+constexpr const char *otherLabel = "other";
+
+void writeHistogram(std::ostringstream &out, const std::string &name, const std::string &labels,
+                    const metrics::MeasureHistograms &histograms, metrics::Measure measure)
+{
+    std::uint64_t count = 0;
+    for (const metrics::Bucket &bucket : histograms.buckets(measure)) {
+        if (bucket.cumulativeCount == count && bucket.upperEdge < 1e9)
+            continue; // empty buckets would be most of the page
+        count = bucket.cumulativeCount;
+        out << name << "_bucket{" << labels << ",le=\"";
+        if (bucket.upperEdge < 1e9)
+            out << bucket.upperEdge;
+        else
+            out << "+Inf";
+        out << "\"} " << count << '\n';
+    }
+    out << name << "_sum{" << labels << "} " << histograms.sum(measure) << '\n';
+    out << name << "_count{" << labels << "} " << count << '\n';
+}
+
+} // namespace
+
+MetricsService::MetricsService(net::Reactor &reactor, kernel::Registry &registry, int port)
+    : m_reactor(reactor)
+    , m_registry(registry)
+    , m_port(port)
+{ }
+
+void MetricsService::start()
+{
+    if (m_port == 0)
+        return;
+    const std::string address =
+        m_registry.find<FleetService>().settings().host + ':' + std::to_string(m_port);
+    try {
+        m_listener =
+            net::Listener::open(m_reactor, address, [this](const Poco::Net::StreamSocket &socket) {
+                net::ServerConnection::serve(m_reactor, socket, *this);
+            });
+    } catch (const Poco::Exception &error) {
+        // Callers are served without metrics rather than not at all.
+        LOG(ERROR) << "metrics: cannot listen address=" << address << " reason=\""
+                   << error.displayText() << '"';
+    }
+}
+
+void MetricsService::addGauge(const std::string &name, std::function<double()> read)
+{
+    m_gauges[name] = std::move(read);
+}
+
+std::string MetricsService::teamLabel(const TeamId &team)
+{
+    const bool isKnown = std::any_of(m_latencies.begin(), m_latencies.end(), [&](const auto &row) {
+        return row.first.first == team.value;
+    });
+    return isKnown || m_latencies.size() < maxTeams ? team.value : otherLabel;
+}
+
+void MetricsService::countRequest(const RequestSummary &summary)
+{
+    const std::string team = teamLabel(summary.team);
+    ++m_requests[{ team, summary.kind, summary.status, summary.outcome }];
+    metrics::MeasureHistograms &histograms = m_latencies[{ team, summary.kind }];
+    histograms.add(metrics::Measure::Total, summary.totalSeconds);
+    if (summary.firstSeconds > 0)
+        histograms.add(metrics::Measure::FirstToken, summary.firstSeconds);
+    if (summary.longestPauseSeconds > 0)
+        histograms.add(metrics::Measure::BetweenTokens, summary.longestPauseSeconds);
+}
+
+void MetricsService::countSendFailure(const TargetId &target, limits::SendFailure failure)
+{
+    const bool hasRoom = m_failures.size() < maxTargets;
+    ++m_failures[{ hasRoom ? target.value : otherLabel, failure }];
+}
+
+std::string MetricsService::text() const
+{
+    std::ostringstream out;
+    for (const auto &[name, read] : m_gauges)
+        out << "# TYPE egretmount_" << name << " gauge\negretmount_" << name << ' ' << read()
+            << '\n';
+    out << "# TYPE egretmount_requests_total counter\n";
+    for (const auto &[key, count] : m_requests) {
+        out << "egretmount_requests_total{team=\"" << std::get<0>(key) << "\",kind=\""
+            << nameOf(std::get<1>(key)) << "\",status=\"" << std::get<2>(key) << "\",outcome=\""
+            << std::get<3>(key) << "\"} " << count << '\n';
+    }
+    out << "# TYPE egretmount_send_failures_total counter\n";
+    for (const auto &[key, count] : m_failures) {
+        out << "egretmount_send_failures_total{target=\"" << key.first << "\",failure=\""
+            << nameOf(key.second) << "\"} " << count << '\n';
+    }
+    struct Shown
+    {
+        metrics::Measure measure;
+        const char *name;
+    };
+    for (const Shown &shown :
+         { Shown { metrics::Measure::FirstToken, "egretmount_first_event_seconds" },
+           Shown { metrics::Measure::BetweenTokens, "egretmount_longest_pause_seconds" },
+           Shown { metrics::Measure::Total, "egretmount_request_seconds" } }) {
+        out << "# TYPE " << shown.name << " histogram\n";
+        for (const auto &[key, histograms] : m_latencies) {
+            const std::string labels =
+                "team=\"" + key.first + "\",kind=\"" + std::string(nameOf(key.second)) + '"';
+            writeHistogram(out, shown.name, labels, histograms, shown.measure);
+        }
+    }
+    return out.str();
+}
+
+void MetricsService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
+                               http::RequestHead head, std::string)
+{
+    if (head.target == "/metrics")
+        connection->answer(200, http::reasonPhrase(200),
+                           "Content-Type: text/plain; version=0.0.4\r\n", text());
+    else
+        connection->answer(404, http::reasonPhrase(404), {}, {});
+}
+
+} // namespace egretmount::node
--- /dev/null
+++ b/apps/node/metrics_service.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+
+#include <egretmount/core/ids.h>
+#include <egretmount/fleet/configuration.h>
+#include <egretmount/limits/next_step.h>
+#include <egretmount/metrics/measure_histograms.h>
+
+#include "kernel/service.h"
+#include "net/server_connection.h"
+
+namespace egretmount::node {
+
+class FleetService;
+
+/// @brief How one request ended, for the counters.
+struct RequestSummary
+{
+    TeamId team; ///< Empty: no team, or the request was refused before it was known.
+    fleet::Repetition kind = fleet::Repetition::AtMostOnce;
+    int status = 0; ///< Zero: the connection ended.
+    std::string outcome;
+    double firstSeconds = 0; ///< Until the first event; zero: there was none.
+    double longestPauseSeconds = 0;
+    double totalSeconds = 0;
+};
+
+/// @brief Counters and latency histograms in the Prometheus text format.
+///
+/// Teams beyond a bound share one row, so the memory does not grow with the configuration.
+class MetricsService
+    : public kernel::Service
+    , public net::RequestHandler
+{
+public:
+    static constexpr std::string_view serviceName = "metrics";
+
+    /// @param port Zero: no metrics are served.
+    MetricsService(net::Reactor &reactor, kernel::Registry &registry, int port);
+
+    std::string_view name() const override { return serviceName; }
+    void start() override;
+
+    /// @brief Adds a value that is read when metrics are asked for.
+    void addGauge(const std::string &name, std::function<double()> read);
+
+    void countRequest(const RequestSummary &summary);
+    void countSendFailure(const TargetId &target, limits::SendFailure failure);
+
+    /// @brief All metrics as text.
+    std::string text() const;
+
+private:
+    using RequestKey = std::tuple<std::string, fleet::Repetition, int, std::string>;
+    using LatencyKey = std::pair<std::string, fleet::Repetition>;
+
+    void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
+                   std::string body) override;
+    std::string teamLabel(const TeamId &team);
+
+    net::Reactor &m_reactor;
+    kernel::Registry &m_registry;
+    int m_port;
+    std::shared_ptr<net::Listener> m_listener;
+    std::map<std::string, std::function<double()>> m_gauges;
+    std::map<RequestKey, std::uint64_t> m_requests;
+    std::map<LatencyKey, metrics::MeasureHistograms> m_latencies;
+    std::map<std::pair<std::string, limits::SendFailure>, std::uint64_t> m_failures;
+};
+
+} // namespace egretmount::node
--- a/src/daemon/net/reactor.cpp
+++ b/src/daemon/net/reactor.cpp
@@ -19,10 +19,10 @@
     // What is dropped here may take back timers or stop watching sockets from its own destructor,
     // so the tables must be whole until the last of it is gone.
     while (!m_watchers.empty() || !m_timers.empty() || !m_deferred.empty()) {
-        const std::unordered_map<Poco::Net::SocketImpl *, std::shared_ptr<SocketWatcher>> watchers
-            = std::exchange(m_watchers, {});
-        const std::map<TimerKey, std::function<void()>, EarlierTimer> timers
-            = std::exchange(m_timers, {});
+        const std::unordered_map<Poco::Net::SocketImpl *, std::shared_ptr<SocketWatcher>> watchers =
+            std::exchange(m_watchers, {});
+        const std::map<TimerKey, std::function<void()>, EarlierTimer> timers =
+            std::exchange(m_timers, {});
         const std::vector<std::function<void()>> deferred = std::exchange(m_deferred, {});
         m_timerTimes.clear();
     }
--- a/tests/node/support/nodes.h
+++ b/tests/node/support/nodes.h
@@ -72,6 +72,7 @@
     std::string callerAddress(int index) const;
     std::string directoryAddress(int index) const;
     std::string readinessAddress(int index) const;
+    std::string metricsAddress(int index) const;
     Process &process(int index) { return m_processes[static_cast<std::size_t>(index)]; }
     const std::string &logFile() const { return m_logFile; }
 
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -58,7 +58,7 @@
     {
         m_nearStream->abort();
         m_farStream->abort();
-        m_reactor.defer([self = std::move(m_self)] { });
+        m_reactor.defer([self = std::move(m_self)] {});
     }
 
     // Bytes that were held back go on once the proxy passes again.
@@ -94,7 +94,7 @@
     {
         m_nearStream->closeGently();
         m_farStream->closeGently();
-        m_reactor.defer([self = std::move(m_self)] { });
+        m_reactor.defer([self = std::move(m_self)] {});
     }
 
     net::Reactor &m_reactor;
