--- a/apps/cli/command.cpp
+++ b/apps/cli/command.cpp
@@ -37,7 +37,7 @@
         { "explain", "ADDRESS SERVICE TOKENS", "prints why a request would go where it goes", 3,
           runExplain },
         { "explain-log", "ID FILE...", "follows one request through the logs of instances", 2,
-          runExplainLog },
+          runExplainLog, true },
     };
     return all;
 }
--- a/apps/cli/command.h
+++ b/apps/cli/command.h
@@ -25,6 +25,7 @@
     const char *help; ///< One sentence.
     std::size_t argumentCount; ///< How many it needs.
     CommandFunction run;
+    bool takesMore = false; ///< Further arguments are files.
 };
 
 /// @brief All commands, in the order of the usage text.
--- a/apps/cli/main.cpp
+++ b/apps/cli/main.cpp
@@ -43,7 +43,9 @@
         throw CommandError { exitUsage, "unknown command '" + words.front()
                                             + "'; egretmount --help lists them" };
     const std::vector<std::string> arguments(words.begin() + 1, words.end());
-    if (arguments.size() != command->argumentCount)
+    const bool isEnough = command->takesMore ? arguments.size() >= command->argumentCount
+                                             : arguments.size() == command->argumentCount;
+    if (!isEnough)
         throw CommandError { exitUsage, std::string("usage: egretmount ") + command->name + ' '
                                             + command->arguments };
     return command->run(arguments);
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -195,7 +195,10 @@
 {
     LOG(INFO) << "placement: refused id=" << m_caller.requestId
               << " reason=" << nameOf(refusal.reason) << " tokens=" << m_caller.promptTokens
-              << " left_ms=" << timeLeft().count()
+              << " left_ms=" << timeLeft().count() << " lane_engines=" << refusal.lane.engines
+              << " lane_backlog_ms=" << refusal.lane.backlogMs
+              << " lane_waiting_ms=" << refusal.lane.waitingMs
+              << " lane_demand=" << refusal.lane.demand
               << " retry_after_ms=" << refusal.retryAfter.count();
     endSend();
     if (m_history.hasAnswerBegun)
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -143,12 +143,12 @@
                              placement::partReadingTime(*service.engine, demand.promptTokens, 1));
     if (!isShort && !hasRun && work == 0) {
         const placement::LongLane lane = longLane(service, demand);
-        if (!placement::isWorthTaking(*service.engine, lane, demand))
-            return Refusal {
-                RefusalReason::Overloaded,
-                roundedUp(placement::expectedWait(
-                    lane, placement::partReadingTime(*service.engine, demand.promptTokens, 1)))
-            };
+        if (!placement::isWorthTaking(*service.engine, lane, demand)) {
+            const double reading =
+                placement::partReadingTime(*service.engine, demand.promptTokens, 1);
+            return Refusal { RefusalReason::Overloaded,
+                             roundedUp(placement::expectedWait(lane, reading)), lane };
+        }
     }
     if (!isShort && !hasRun && !hasTurn)
         return wait(service, demand, life, work);
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -57,6 +57,7 @@
 {
     RefusalReason reason = RefusalReason::NoTarget;
     Milliseconds retryAfter; ///< When a place is expected.
+    placement::LongLane lane {}; ///< What an overload was decided from.
 };
 
 /// @brief What becomes of a request.
--- a/tests/node/command_line_test.cpp
+++ b/tests/node/command_line_test.cpp
@@ -54,7 +54,8 @@
     usleep(150'000);
     const std::string out = "/tmp/egretmount-explain.txt";
     std::remove(out.c_str());
-    Process explain("egretmount", { "explain-log", "followed", site.nodes.logFile() }, out);
+    Process explain("egretmount",
+                    { "explain-log", "followed", site.nodes.logFile(), site.nodes.logFile() }, out);
     CHECK(explain.wait() == 0);
     std::ifstream file(out);
     const std::string text { std::istreambuf_iterator<char>(file), {} };
