--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -16,32 +16,14 @@
 using limits::NextStep;
 using limits::SendFailure;
 
-// An answer without events is passed on as a whole up to this size, so that a torn one can be
-// repeated; larger ones are passed on as they come.
-constexpr std::size_t maxBuffered = 256UL * 1024;
-// A caller that takes nothing while this much waits for it is broken off.
-constexpr std::size_t maxUnsent = 2UL * 1024 * 1024;
 // Callers abandon a stream after the longest of this time, four latency targets and eight pauses.
 constexpr Milliseconds leastPatience = Milliseconds(2'000);
 constexpr int patienceTargets = 4;
 constexpr int patiencePauses = 8;
-// How often a send is checked for silence.
-constexpr Milliseconds silenceCheck = Milliseconds(150);
-// A target that sends nothing on any connection for this long, beyond the time that its known
-// reading takes, may be gone: a living one sends an event to some stream every few hundred
-// milliseconds.
-constexpr Milliseconds silentTarget = Milliseconds(1'000);
-constexpr double silentPauses = 2; // pause targets without an event of the stream
-constexpr double silentEstimates = 2; // times the time expected to the first event
-// An idempotent request is repeated elsewhere if nothing has come after this share of its time:
-// late enough for a busy target, early enough for a second one.
-constexpr double plainSilenceShare = 0.5;
 // When to try again after an engine had no memory to set aside.
 constexpr Milliseconds memoryRetryDelay = Milliseconds(150);
 // When to come back after a send that did not run: some other target may have room at once.
 constexpr Milliseconds declinedDelay = Milliseconds(250);
-// When to come back to an instance that stops: another one can be asked at once.
-constexpr Milliseconds stoppingDelay = Milliseconds(50);
 constexpr Milliseconds unknownConfigurationDelay = Milliseconds(500);
 
 double secondsOf(Milliseconds time)
@@ -200,15 +182,7 @@
               << " lane_waiting_ms=" << refusal.lane.waitingMs
               << " lane_demand=" << refusal.lane.demand
               << " retry_after_ms=" << refusal.retryAfter.count();
-    endSend();
-    if (m_history.hasAnswerBegun)
-        breakOff("nowhere-to-resume");
-    else if (m_hasFallback)
-        passBuffered();
-    else if (limits::verdictOf(m_history) == Verdict::NotRun)
-        answerNotRun(nameOf(refusal.reason), refusal.retryAfter);
-    else
-        answerOwn(502, "target-failed");
+    giveUp(nameOf(refusal.reason), refusal.retryAfter, 502);
 }
 
 void Exchange::prepare(const Placement &placement)
@@ -271,110 +245,6 @@
     ++m_history.mayHaveRun;
 }
 
-void Exchange::onAnswerHead(http::ResponseHead head, std::optional<int> inHand)
-{
-    m_reportedInHand = inHand;
-    m_answerHead = std::move(head);
-    m_isEventStream =
-        m_route->repetition == fleet::Repetition::Stream && m_answerHead.status == 200;
-    m_buffer.clear();
-}
-
-void Exchange::onAnswerBytes(std::string bytes)
-{
-    if (m_isEventStream) {
-        passEvents(bytes);
-        return;
-    }
-    m_buffer += bytes;
-    const bool isBegun = m_history.hasAnswerBegun;
-    if (!isBegun && m_buffer.size() <= maxBuffered)
-        return;
-    if (!isBegun) {
-        m_history.hasAnswerBegun = true;
-        m_connection->beginAnswer(m_answerHead.status, m_answerHead.reason,
-                                  answerFields(m_answerHead));
-    }
-    m_connection->sendPiece(m_buffer);
-    m_buffer.clear();
-}
-
-void Exchange::passEvents(const std::string &bytes)
-{
-    const std::string events = http::takeEvents(m_scanner, bytes);
-    if (events.empty())
-        return;
-    const Milliseconds now = m_services.reactor.now();
-    if (m_history.hasAnswerBegun)
-        m_longestPause = std::max(m_longestPause, now - m_lastPassedAt);
-    m_lastPassedAt = m_lastEventAt = now;
-    if (!m_isWriting) {
-        m_isWriting = true;
-        m_services.placement.noteWriting(m_placement.work, m_placement.expectedMs,
-                                         static_cast<double>((now - m_sentAt).count()),
-                                         m_reportedInHand);
-    }
-    if (!m_history.hasAnswerBegun) {
-        m_history.hasAnswerBegun = true;
-        m_firstEventAt = now;
-        m_connection->beginAnswer(m_answerHead.status, m_answerHead.reason,
-                                  answerFields(m_answerHead));
-    }
-    m_connection->sendPiece(events);
-    if (m_connection->unsent() > maxUnsent)
-        breakOff("caller-too-slow");
-}
-
-std::string Exchange::answerFields(const http::ResponseHead &head) const
-{
-    std::string fields;
-    for (const http::Field &field : http::endToEndFields(head.fields))
-        http::appendField(fields, field.name, field.value);
-    return fields;
-}
-
-void Exchange::onAnswerComplete()
-{
-    const std::shared_ptr<Exchange> self = shared_from_this();
-    endSend(m_answerHead.status == 200);
-    const placement::EngineKey key = keyOf(m_placement.target.id);
-    if (m_isEventStream && !m_scanner.partial.empty()) {
-        // The answer ended in the middle of an event: the target broke off.
-        handleFailure(SendFailure::Broken);
-        return;
-    }
-    if (m_answerHead.status >= 500) {
-        m_services.targets.noteFailure(key, false);
-        if (!m_history.hasAnswerBegun) {
-            m_hasFallback = true;
-            m_fallbackHead = m_answerHead;
-            m_fallbackBody = m_buffer;
-            handleFailure(SendFailure::FailedRun);
-            return;
-        }
-    } else {
-        m_services.targets.noteSuccess(key);
-    }
-    if (m_history.hasAnswerBegun) {
-        m_connection->endAnswer();
-    } else if (m_isEventStream) {
-        m_connection->beginAnswer(m_answerHead.status, m_answerHead.reason,
-                                  answerFields(m_answerHead));
-        m_connection->endAnswer();
-    } else {
-        m_connection->answer(m_answerHead.status, m_answerHead.reason, answerFields(m_answerHead),
-                             m_buffer);
-    }
-    finish(m_answerHead.status, "answered");
-}
-
-void Exchange::passBuffered()
-{
-    m_connection->answer(m_fallbackHead.status, m_fallbackHead.reason, answerFields(m_fallbackHead),
-                         m_fallbackBody);
-    finish(m_fallbackHead.status, "target-failure-passed-on");
-}
-
 void Exchange::onSendFailed(SendFailure failure, const std::string &faultyAddress)
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
@@ -408,79 +278,8 @@
     m_failedTargets.insert(m_placement.target.id);
     if (isAllowed)
         send();
-    else if (m_history.hasAnswerBegun)
-        breakOff("target-broke-off");
-    else if (m_hasFallback)
-        passBuffered();
-    else if (limits::verdictOf(m_history) == Verdict::NotRun)
-        answerNotRun("not-run", declinedDelay);
     else
-        answerOwn(502, "target-failed");
-}
-
-void Exchange::watchSilence()
-{
-    m_services.reactor.cancel(m_silenceTimer);
-    if (m_route->repetition == fleet::Repetition::AtMostOnce)
-        return;
-    const std::weak_ptr<Exchange> weak = weak_from_this();
-    m_silenceTimer = m_services.reactor.after(silenceCheck, [weak] {
-        if (const std::shared_ptr<Exchange> self = weak.lock()) {
-            self->m_silenceTimer = 0;
-            self->onSilent();
-        }
-    });
-}
-
-bool Exchange::isTargetSilent() const
-{
-    const Milliseconds now = m_services.reactor.now();
-    const double quiet = static_cast<double>((now - m_lastEventAt).count());
-    if (m_placement.work == 0)
-        return quiet > plainSilenceShare * static_cast<double>((m_endsAt - m_arrivedAt).count());
-    const TargetHealth &health = m_services.targets.health(keyOf(m_placement.target.id));
-    const double unheard =
-        static_cast<double>((now - std::max(health.lastHeard, m_sentAt)).count());
-    const double least = m_isWriting
-                             ? silentPauses * static_cast<double>(m_route->pauseTarget.count())
-                             : silentEstimates * m_placement.expectedMs;
-    // A target that reads long prompts sends nothing meanwhile.
-    const double allowed = std::max(least, static_cast<double>(silentTarget.count()))
-                           + m_services.placement.readingBacklog(m_placement.target.id);
-    return unheard > allowed && quiet > allowed;
-}
-
-void Exchange::onSilent()
-{
-    if (m_isOver)
-        return;
-    const limits::NextStep step = limits::nextStep(*m_route, SendFailure::Broken, m_history);
-    const bool mayMove = step == NextStep::SendAgain || step == NextStep::ResumeElsewhere;
-    if (!mayMove || !isTargetSilent()) {
-        watchSilence();
-        return;
-    }
-    // The present send goes on unless there is something better: a silent target may yet answer.
-    std::set<TargetId> excluded = m_failedTargets;
-    excluded.insert(m_placement.target.id);
-    const TargetId silent = m_placement.target.id;
-    std::swap(excluded, m_failedTargets);
-    const Decision decision = place();
-    const Placement *placement = std::get_if<Placement>(&decision);
-    if (placement == nullptr || !m_services.ingress.takeRepeat(m_service->id)) {
-        if (placement != nullptr)
-            m_services.placement.noteEnd(placement->work, false);
-        std::swap(excluded, m_failedTargets);
-        watchSilence();
-        return;
-    }
-    LOG(INFO) << "exchange: target silent id=" << m_caller.requestId << " target=" << silent.value
-              << " quiet_ms=" << (m_services.reactor.now() - m_lastEventAt).count()
-              << " events=" << m_scanner.count << " step=" << nameOf(step);
-    m_send.cancel();
-    endSend();
-    m_services.targets.noteFailure(keyOf(silent), m_service->engine.has_value());
-    prepare(*placement);
+        giveUp("target-failed", declinedDelay, 502);
 }
 
 void Exchange::endSend(bool isServed)
@@ -516,16 +315,21 @@
     if (m_isOver)
         return;
     const std::shared_ptr<Exchange> self = shared_from_this();
+    giveUp("time-up", declinedDelay, 504);
+}
+
+void Exchange::giveUp(std::string_view reason, Milliseconds retryAfter, int statusIfUnknown)
+{
     m_send.cancel();
     endSend();
     if (m_history.hasAnswerBegun)
-        breakOff("time-up");
+        breakOff(reason);
     else if (m_hasFallback)
-        passBuffered();
+        passFallback();
     else if (limits::verdictOf(m_history) == Verdict::NotRun)
-        answerNotRun("time-up", declinedDelay);
+        answerNotRun(reason, retryAfter);
     else
-        answerOwn(504, "time-up");
+        answerOwn(statusIfUnknown, reason);
 }
 
 void Exchange::stop()
@@ -533,37 +337,7 @@
     if (m_isOver)
         return;
     const std::shared_ptr<Exchange> self = shared_from_this();
-    m_send.cancel();
-    endSend();
-    if (m_history.hasAnswerBegun)
-        breakOff("stopping");
-    else if (limits::verdictOf(m_history) == Verdict::NotRun)
-        answerNotRun("stopping", stoppingDelay);
-    else
-        answerOwn(502, "stopping");
-}
-
-void Exchange::answerNotRun(std::string_view reason, Milliseconds retryAfter)
-{
-    answerOwn(503, reason, retryAfter);
-}
-
-void Exchange::answerOwn(int status, std::string_view reason, Milliseconds retryAfter)
-{
-    std::string fields;
-    platform::appendRequestId(fields, m_caller.requestId);
-    if (retryAfter > Milliseconds())
-        platform::appendRetryAfter(fields, retryAfter);
-    m_connection->answer(status, http::reasonPhrase(status), fields, {});
-    finish(status, reason);
-}
-
-void Exchange::breakOff(std::string_view reason)
-{
-    m_send.cancel();
-    endSend();
-    m_connection->breakOff();
-    finish(0, reason);
+    giveUp("stopping", stoppingRetryDelay, 502);
 }
 
 void Exchange::finish(int status, std::string_view outcome)
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -67,7 +67,8 @@
     void onTimeUp();
     void endSend(bool isServed = false);
     void passEvents(const std::string &bytes);
-    void passBuffered();
+    void passFallback();
+    void giveUp(std::string_view reason, Milliseconds retryAfter, int statusIfUnknown);
     void answerOwn(int status, std::string_view reason, Milliseconds retryAfter = Milliseconds());
     void answerNotRun(std::string_view reason, Milliseconds retryAfter);
     void breakOff(std::string_view reason);
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr Milliseconds connectionSweep = Milliseconds(1'000);
-// When to come back to an instance that stops: another one can be asked at once.
-constexpr Milliseconds stoppingDelay = Milliseconds(50);
 
 } // namespace
 
@@ -113,7 +111,7 @@
     m_lastRequestAt = m_reactor.now();
     if (m_refusesNew) {
         std::string fields;
-        platform::appendRetryAfter(fields, stoppingDelay);
+        platform::appendRetryAfter(fields, stoppingRetryDelay);
         connection->answer(503, http::reasonPhrase(503), fields, {});
         LOG(INFO) << "ingress: refused status=503 reason=\"stopping\"";
         return;
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -19,6 +19,9 @@
 class PlacementService;
 class TargetPool;
 
+/// @brief When to come back to an instance that stops: another one can be asked at once.
+constexpr Milliseconds stoppingRetryDelay = Milliseconds(50);
+
 /// @brief Takes the callers' requests and keeps their exchanges until they end.
 class IngressService
     : public kernel::Service
--- a/include/egretmount/fleet/configuration.h
+++ b/include/egretmount/fleet/configuration.h
@@ -56,8 +56,6 @@
     double readPairsMs = 0; ///< For each million pairs of a token and an earlier one.
     int chunkTokens = 1; ///< Prompt tokens read in one step at most.
     int stepsPerPass = 1; ///< Steps between two events of a writer.
-    double helperHopMs = 0; ///< Added to a step of a request that other engines help.
-    Milliseconds reportLag;
     TokenCount usualPrompt = 0;
     TokenCount usualAnswer = 0;
 };
@@ -66,8 +64,6 @@
 struct ServiceSpec
 {
     ServiceId id;
-    std::string healthPath;
-    int maxConnections = 0; ///< One target's, from all instances together.
     double coldRequestsPerSecond = 0; ///< A cold target's, from all instances; zero: no bound.
     std::optional<EngineSpeed> engine; ///< Nothing: a plain service.
 };
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -26,8 +26,8 @@
 constexpr double partLoss = 0.004;
 // Cost of taking an engine that nobody writes at; keeps writers of a kind together.
 constexpr double spreadLoss = 0.06;
-// A prompt that an engine reads within this time is short: split in two it stays, with the rest of a
-// pass, below the shortest pauses that callers notice.
+// A prompt that an engine reads within this time is short: split in two it stays, with the rest of
+// a pass, below the shortest pauses that callers notice.
 constexpr double shortReadingMs = 250;
 // Reading of a long prompt's part that the short lane bears, with what is to be read there already.
 constexpr double laneReadingMs = 90;
--- a/tests/parts/limits_test.cpp
+++ b/tests/parts/limits_test.cpp
@@ -3,6 +3,7 @@
 #include <egretmount/limits/cold_gate.h>
 #include <egretmount/limits/next_step.h>
 #include <egretmount/limits/retry_budget.h>
+#include <egretmount/limits/silence.h>
 
 using namespace egretmount;
 using namespace egretmount::literals;
@@ -158,3 +159,24 @@
     }
     CHECK(moved <= 1);
 }
+
+TEST_CASE("a stream leaves a target only if nothing at all is heard of it")
+{
+    limits::StreamSilence stream;
+    stream.quiet = 1'500_ms;
+    stream.unheard = 1'500_ms;
+    stream.isWriting = true;
+    stream.pauseTarget = 250_ms;
+    CHECK(limits::isSilent(stream));
+    stream.unheard = 300_ms; // other streams of the target go on
+    CHECK_FALSE(limits::isSilent(stream));
+    stream.unheard = 1'500_ms;
+    stream.backlogMs = 800; // it is known to read
+    CHECK_FALSE(limits::isSilent(stream));
+    stream.backlogMs = 0;
+    stream.isWriting = false;
+    stream.expectedMs = 2'000; // a long prompt takes its time
+    CHECK_FALSE(limits::isSilent(stream));
+    CHECK(limits::isSilent(900_ms, 1'500_ms));
+    CHECK_FALSE(limits::isSilent(600_ms, 1'500_ms));
+}
--- a/tests/parts/placement_fleet.cpp
+++ b/tests/parts/placement_fleet.cpp
@@ -379,7 +379,6 @@
     speed.readPairsMs = 0.162;
     speed.chunkTokens = 2'048;
     speed.stepsPerPass = 34;
-    speed.helperHopMs = 0.1;
     speed.usualPrompt = 11'000;
     speed.usualAnswer = 1'270;
     return speed;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -71,7 +71,7 @@
         , m_standIn(FLAGS_subnet)
     {
         m_standIn.put("op/config", usualConfiguration(m_version));
-        m_standIn.setScript([this](const Arrival &arrival) { return scriptOf(arrival); });
+        m_standIn.setScript([](const Arrival &arrival) { return scriptOf(arrival); });
         const int engines = FLAGS_targets * 2 / 3;
         for (int i = 0; i < FLAGS_targets; ++i) {
             const bool isEngine = i < engines;
@@ -95,6 +95,7 @@
             return 1;
         }
         std::vector<std::thread> callers;
+        callers.reserve(static_cast<std::size_t>(FLAGS_callers));
         for (int i = 0; i < FLAGS_callers; ++i)
             callers.emplace_back([this, i] { call(i); });
         harm();
@@ -178,7 +179,7 @@
     // Faults in two threads, so that they overlap.
     void harm()
     {
-        const Milliseconds end = monotonicNow() + Milliseconds(FLAGS_seconds * 1'000);
+        const Milliseconds end = monotonicNow() + Milliseconds(1'000) * FLAGS_seconds;
         const std::uint64_t seed = m_random();
         std::thread links([this, end, seed] { harmLinks(end, seed); });
         while (monotonicNow() < end) {
