--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -164,11 +164,14 @@
         const std::optional<placement::Plan> plan =
             placement::planPlacement(m_ledger, *service.engine, candidates, demand, outlook(), now);
         if (!plan) {
-            LOG(INFO) << "placement: no place service=" << service.id.value
-                      << " tokens=" << demand.promptTokens << " usable=" << targets.size()
-                      << " short_expected=" << outlook().shortRequests
-                      << " in_hand=" << m_ledger.works.size()
-                      << " waiting=" << m_ledger.waiting.size();
+            // Once for each request: one that waits asks again many times a second.
+            if (work == 0) {
+                LOG(INFO) << "placement: no place service=" << service.id.value
+                          << " tokens=" << demand.promptTokens << " usable=" << targets.size()
+                          << " short_expected=" << outlook().shortRequests
+                          << " in_hand=" << m_ledger.works.size()
+                          << " waiting=" << m_ledger.waiting.size();
+            }
             const bool mayWait = !hasRun && !isShort && demand.waited < demand.latencyTarget;
             if (mayWait)
                 return wait(service, demand, life, work);
