Let instances that start while the store fails read another one's copy

A single instance that restarts in an outage refuses everything until the outage ends, beside instances that know.

Change: each instance keeps the entries as the store wrote them and hands them out on the TCP side of the peer port in the store's own format, so the same client reads them. Before the first answer the store is asked every 300 ms.

The new test of a restart in an outage fails without it (503 for both modes).

--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -14,6 +14,7 @@
 #include "peer_service.h"
 #include "placement_service.h"
 #include "platform/settings.h"
+#include "registry_copies.h"
 #include "registry_sync.h"
 #include "shutdown_service.h"
 #include "target_pool.h"
@@ -48,6 +49,7 @@
     registry.add(std::make_unique<TargetPool>(reactor, registry));
     registry.add(std::make_unique<PlacementService>(reactor, registry));
     registry.add(std::make_unique<PeerService>(reactor, registry));
+    registry.add(std::make_unique<RegistryCopies>(reactor, registry));
     registry.add(std::make_unique<RegistrySync>(reactor, registry, settings.registryAddress));
     registry.add(std::make_unique<IngressService>(reactor, registry));
     registry.add(std::make_unique<DirectoryService>(reactor, registry));
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -327,7 +327,7 @@
         const std::string host = news.getSender();
         noteMembers(host, news);
         noteWorks(host, news);
-        m_sync->noteLaterRevision(news.getRegistryRevision());
+        m_sync->noteRevisionOf(host, news.getRegistryRevision());
     } catch (const kj::Exception &error) {
         LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " reason=\""
                      << error.getDescription().cStr() << '"';
--- a/apps/node/registry_sync.cpp
+++ b/apps/node/registry_sync.cpp
@@ -8,6 +8,7 @@
 
 #include "fleet_service.h"
 #include "peer_service.h"
+#include "registry_copies.h"
 
 namespace egretmount::node {
 
@@ -30,6 +31,8 @@
 // First and longest delay between attempts while the store fails.
 constexpr Milliseconds firstRetry = Milliseconds(150);
 constexpr Milliseconds longestRetry = Milliseconds(600);
+// Before the first answer all requests are refused, which weighs more than a few calls.
+constexpr Milliseconds longestFirstRetry = Milliseconds(300);
 
 // A watch that has not told of a change which another instance knows for this long is stuck.
 constexpr Milliseconds stuckAfter = Milliseconds(700);
@@ -47,13 +50,18 @@
 {
     m_fleet = &m_registry.find<FleetService>();
     m_peers = &m_registry.find<PeerService>();
+    m_copies = &m_registry.find<RegistryCopies>();
     m_lastAnswer = m_reactor.now();
     list();
 }
 
-void RegistrySync::noteLaterRevision(platform::Revision revision)
+void RegistrySync::noteRevisionOf(const std::string &host, platform::Revision revision)
 {
     const Milliseconds now = m_reactor.now();
+    if (m_revision == 0 && revision > 0) {
+        m_copies->ask(host, [this](const platform::RegistryPage &page) { onCopy(page); });
+        return;
+    }
     if (revision <= m_revision || m_needsListing) {
         m_behindSince = Milliseconds();
         return;
@@ -69,10 +77,19 @@
     m_client.drop();
 }
 
+void RegistrySync::onCopy(const platform::RegistryPage &page)
+{
+    if (m_revision != 0)
+        return; // the store has answered meanwhile
+    m_fleet->applyListing(page.changes);
+    m_copies->own().noteListing(page.items, page.revision);
+    m_revision = page.revision;
+    m_needsListing = false;
+}
+
 void RegistrySync::list()
 {
-    m_listed.clear();
-    m_listedAt = 0;
+    m_listed = {};
     m_client.list("", [this](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
         onListed(std::move(page));
     });
@@ -86,10 +103,12 @@
     }
     // Pages are no snapshot: watching on from the first one's state repeats some changes and
     // misses none.
-    if (m_listedAt == 0)
-        m_listedAt = page->revision;
+    if (m_listed.revision == 0)
+        m_listed.revision = page->revision;
     for (platform::RegistryChange &change : page->changes)
-        m_listed.push_back(std::move(change));
+        m_listed.changes.push_back(std::move(change));
+    for (platform::RegistryItem &item : page->items)
+        m_listed.items.push_back(std::move(item));
     if (page->hasMore && !page->lastKey.empty()) {
         m_client.list(page->lastKey,
                       [this](tl::expected<platform::RegistryPage, platform::StoreFailure> next) {
@@ -98,9 +117,10 @@
         return;
     }
     noteAnswer();
-    m_fleet->applyListing(m_listed);
-    m_listed.clear();
-    m_revision = std::max(m_revision, m_listedAt);
+    m_fleet->applyListing(m_listed.changes);
+    m_copies->own().noteListing(m_listed.items, m_listed.revision);
+    m_revision = std::max(m_revision, m_listed.revision);
+    m_listed = {};
     m_needsListing = false;
     watch();
 }
@@ -126,6 +146,7 @@
     }
     noteAnswer();
     m_fleet->applyChanges(page->changes);
+    m_copies->own().noteChanges(page->items, page->revision);
     m_revision = std::max(m_revision, page->revision);
     if (page->changes.empty()) {
         watch();
@@ -162,7 +183,8 @@
     if (m_failures == 0)
         LOG(WARNING) << "registry: lost reason=" << nameOf(failure) << " revision=" << m_revision;
     ++m_failures;
-    const Milliseconds delay = std::min(firstRetry * std::min(m_failures, 4), longestRetry);
+    const Milliseconds longest = m_revision == 0 ? longestFirstRetry : longestRetry;
+    const Milliseconds delay = std::min(firstRetry * std::min(m_failures, 4), longest);
     m_reactor.after(delay, [this] { retry(); });
 }
 
--- a/apps/node/registry_sync.h
+++ b/apps/node/registry_sync.h
@@ -10,6 +10,7 @@
 
 class FleetService;
 class PeerService;
+class RegistryCopies;
 
 /// @brief Keeps the fleet's state in step with the platform's store: one listing, then a watch.
 class RegistrySync : public kernel::Service
@@ -24,11 +25,14 @@
 
     platform::Revision revision() const { return m_revision; }
 
-    /// @brief Takes in that another instance has seen a later state of the store.
-    void noteLaterRevision(platform::Revision revision);
+    /// @brief Takes in that another instance has seen a state of the store.
+    ///
+    /// As long as this one has seen none, it asks that instance for its copy.
+    void noteRevisionOf(const std::string &host, platform::Revision revision);
 
 private:
     void list();
+    void onCopy(const platform::RegistryPage &page);
     void onListed(tl::expected<platform::RegistryPage, platform::StoreFailure> page);
     void watch();
     void onChanges(tl::expected<platform::RegistryPage, platform::StoreFailure> page);
@@ -43,8 +47,8 @@
     platform::StoreClient m_client;
     FleetService *m_fleet = nullptr;
     PeerService *m_peers = nullptr;
-    std::vector<platform::RegistryChange> m_listed;
-    platform::Revision m_listedAt = 0;
+    RegistryCopies *m_copies = nullptr;
+    platform::RegistryPage m_listed; ///< Pages of the listing under way.
     platform::Revision m_revision = 0;
     Milliseconds m_watchStarted;
     Milliseconds m_lastAnswer;
--- a/tests/node/registry_test.cpp
+++ b/tests/node/registry_test.cpp
@@ -94,6 +94,36 @@
     }
 }
 
+TEST_CASE("an instance that starts while the store fails serves from what another one knows")
+{
+    for (const StoreMode mode : { StoreMode::Refuses, StoreMode::Silent }) {
+        CAPTURE(static_cast<int>(mode));
+        Site site(subnet, 2);
+        REQUIRE(site.isReady);
+        site.standIn.setScript(plain);
+        site.standIn.put("op/config", usualConfiguration(5, "added"));
+        REQUIRE(timeUntil(site, "added", 200, 2'000_ms) < 2'000_ms);
+        site.standIn.setStoreMode(mode);
+        site.nodes.process(1).kill();
+        usleep(200'000);
+        site.nodes.start(1);
+        const Milliseconds start = monotonicNow();
+        int status = 0;
+        while (status != 200 && monotonicNow() - start < 2'000_ms) {
+            try {
+                status = site.nodes.ask(1, plainRequest("added", "s")).status;
+            } catch (const Poco::Exception &) {
+                usleep(20'000); // not listening yet
+            }
+        }
+        CHECK(status == 200);
+        site.standIn.put("op/config", usualConfiguration(7, "later"));
+        site.standIn.setStoreMode(StoreMode::Serves);
+        CHECK(timeUntil(site, "later", 200, 4'000_ms) < 3'000_ms);
+        CHECK(site.nodes.ask(1, plainRequest("later", "l")).status == 200);
+    }
+}
+
 TEST_CASE("changes that the store's history has lost are read anew")
 {
     Site site(subnet);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "platform/documents.h"
+#include "platform/registry_copy.h"
 
 using namespace egretmount;
 using namespace egretmount::literals;
@@ -116,3 +117,28 @@
     CHECK(platform::directoryBody({ "10.0.0.1:80" }, 2'000_ms)
           == R"({"addresses":["10.0.0.1:80"],"ttlS":2})");
 }
+
+TEST_CASE("a copy of the store's contents is read back as they were last written")
+{
+    const std::string listing =
+        R"({"at": 7, "items": [{"key": "servers/i-1", "value": "eyJhIjoxfQ=="},)"
+        R"( {"key": "op/evacuate/z1", "value": "e30="}, {"key": "other/x", "value": "e30="}]})";
+    const std::optional<platform::RegistryPage> listed = platform::readPage(listing);
+    REQUIRE(listed);
+    platform::RegistryCopy copy;
+    CHECK(copy.isEmpty());
+    copy.noteListing(listed->items, listed->revision);
+    const std::optional<platform::RegistryPage> changes = platform::readPage(
+        R"({"at": 9, "events": [{"key": "op/evacuate/z1", "removed": true},)"
+        R"( {"key": "op/evacuate/z2", "value": "e30="}]})");
+    REQUIRE(changes);
+    copy.noteChanges(changes->items, changes->revision);
+    const std::optional<platform::RegistryPage> read = platform::readPage(copy.body());
+    REQUIRE(read);
+    CHECK(read->revision == 9);
+    CHECK(!read->hasMore);
+    REQUIRE(read->items.size() == 2);
+    CHECK(read->items[0].key == "op/evacuate/z2");
+    CHECK(read->items[1].key == "servers/i-1");
+    CHECK(read->items[1].encodedValue == "eyJhIjoxfQ==");
+}
