Let requests wait for the first configuration, and name a delay that helps

Cause: when all instances are killed while the store is away, they are back some seconds before it.

Change: a request waits for the first configuration for a quarter of its caller's time, at most 2 s; then it is refused and told to come back after half of the rest, at most 2 s, spread.

What remains there are callers that find no instance running, and targets' own failures.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -4,6 +4,9 @@
 
 #include <glog/logging.h>
 
+#include <egretmount/core/hash.h>
+#include <egretmount/limits/return_delay.h>
+
 #include "fleet_service.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
@@ -24,7 +27,6 @@
 constexpr Milliseconds memoryRetryDelay = Milliseconds(150);
 // When to come back after a send that did not run: some other target may have room at once.
 constexpr Milliseconds declinedDelay = Milliseconds(250);
-constexpr Milliseconds unknownConfigurationDelay = Milliseconds(500);
 
 double secondsOf(Milliseconds time)
 {
@@ -66,14 +68,50 @@
     m_services.reactor.cancel(m_turnTimer);
 }
 
-void Exchange::start(std::shared_ptr<const fleet::Configuration> configuration, double serviceDraw)
+void Exchange::start(double serviceDraw)
+{
+    m_serviceDraw = serviceDraw;
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_connection->onGone([weak] {
+        if (const std::shared_ptr<Exchange> self = weak.lock())
+            self->onCallerGone();
+    });
+    if (m_services.fleet.configuration())
+        begin();
+    else
+        waitForConfiguration();
+}
+
+void Exchange::waitForConfiguration()
+{
+    m_isUnconfigured = true;
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_endTimer = m_services.reactor.after(limits::waitInOutage(m_caller.deadline), [weak] {
+        if (const std::shared_ptr<Exchange> self = weak.lock()) {
+            self->m_endTimer = 0;
+            self->answerNotRun("no-configuration", self->delayInOutage());
+        }
+    });
+}
+
+void Exchange::noteConfigured()
+{
+    if (!m_isUnconfigured || m_isOver)
+        return;
+    m_isUnconfigured = false;
+    m_services.reactor.cancel(m_endTimer);
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    begin();
+}
+
+void Exchange::begin()
 {
-    m_configuration = std::move(configuration);
+    m_configuration = m_services.fleet.configuration();
     if (!checkRequest())
         return;
-    m_service = fleet::findService(*m_configuration, fleet::chooseService(*m_route, serviceDraw));
+    m_service = fleet::findService(*m_configuration, fleet::chooseService(*m_route, m_serviceDraw));
     if (m_service == nullptr) {
-        answerNotRun("service-unknown", unknownConfigurationDelay);
+        answerNotRun("service-unknown", delayInOutage());
         return;
     }
     Milliseconds life = m_route->timeout > Milliseconds()
@@ -84,11 +122,7 @@
     m_endsAt = m_arrivedAt + life;
     m_services.ingress.noteRequest(m_service->id);
     const std::weak_ptr<Exchange> weak = weak_from_this();
-    m_connection->onGone([weak] {
-        if (const std::shared_ptr<Exchange> self = weak.lock())
-            self->onCallerGone();
-    });
-    m_endTimer = m_services.reactor.after(life, [weak] {
+    m_endTimer = m_services.reactor.after(timeLeft(), [weak] {
         if (const std::shared_ptr<Exchange> self = weak.lock())
             self->onTimeUp();
     });
@@ -97,10 +131,6 @@
 
 bool Exchange::checkRequest()
 {
-    if (!m_configuration) {
-        answerNotRun("no-configuration", unknownConfigurationDelay);
-        return false;
-    }
     const std::string host(
         http::fieldValue(m_requestHead.fields, "Host").value_or(std::string_view()));
     m_route = fleet::findRoute(*m_configuration, host, m_requestHead.target);
@@ -123,6 +153,11 @@
     return true;
 }
 
+Milliseconds Exchange::delayInOutage() const
+{
+    return limits::delayInOutage(m_caller.deadline, stableHash(m_caller.requestId));
+}
+
 Milliseconds Exchange::timeLeft() const
 {
     return std::max(m_endsAt - m_services.reactor.now(), Milliseconds());
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -18,11 +18,13 @@
 class IngressService;
 class MetricsService;
 class TargetPool;
+class FleetService;
 
 /// @brief The services that an exchange uses.
 struct ExchangeServices
 {
     net::Reactor &reactor;
+    FleetService &fleet;
     PlacementService &placement;
     TargetPool &targets;
     IngressService &ingress;
@@ -39,8 +41,12 @@
              http::RequestHead head, std::string body);
     ~Exchange() override;
 
-    /// @brief Checks the request and sends it on.
-    void start(std::shared_ptr<const fleet::Configuration> configuration, double serviceDraw);
+    /// @brief Checks the request and sends it on, or waits for the first configuration.
+    /// @param serviceDraw From 0 to 1; chooses among a route's services by their weights.
+    void start(double serviceDraw);
+
+    /// @brief Goes on if it waits for the configuration, which is there now.
+    void noteConfigured();
 
     /// @brief Ends the exchange because this instance stops.
     void stop();
@@ -52,6 +58,8 @@
     void onAnswerComplete() override;
     void onSendFailed(limits::SendFailure failure, const std::string &faultyAddress) override;
 
+    void begin();
+    void waitForConfiguration();
     bool checkRequest();
     void send();
     void prepare(const Placement &placement);
@@ -73,6 +81,7 @@
     void answerNotRun(std::string_view reason, Milliseconds retryAfter);
     void breakOff(std::string_view reason);
     void finish(int status, std::string_view outcome);
+    Milliseconds delayInOutage() const;
     Milliseconds timeLeft() const;
     std::string answerFields(const http::ResponseHead &head) const;
 
@@ -109,6 +118,8 @@
     net::TimerId m_silenceTimer = 0;
     net::TimerId m_turnTimer = 0;
     std::uint64_t m_waitingWork = 0; ///< Entry under which it waits for engines; zero: it does not.
+    double m_serviceDraw = 0;
+    bool m_isUnconfigured = false; ///< Waits for the first configuration.
     bool m_isWriting = false;
     bool m_isOver = false;
 };
--- a/apps/node/fleet_service.cpp
+++ b/apps/node/fleet_service.cpp
@@ -114,7 +114,15 @@
               << " routes=" << configuration.routes.size()
               << " services=" << configuration.services.size()
               << " keys=" << configuration.teamsByKey.size();
+    const bool isFirst = !m_configuration;
     m_configuration = std::make_shared<const fleet::Configuration>(std::move(configuration));
+    if (!isFirst)
+        return;
+    // The targets of the same listing are taken in before the listeners are called.
+    m_reactor.defer([this] {
+        for (const std::function<void()> &listener : m_configurationListeners)
+            listener();
+    });
 }
 
 void FleetService::applyEvacuation(const platform::EvacuationChanged &change)
--- a/apps/node/fleet_service.h
+++ b/apps/node/fleet_service.h
@@ -54,6 +54,13 @@
         m_endListeners.push_back(std::move(listener));
     }
 
+    /// @brief Registers who hears, once, that a configuration is in force and the targets are
+    /// known.
+    void onConfigured(std::function<void()> listener)
+    {
+        m_configurationListeners.push_back(std::move(listener));
+    }
+
 private:
     void apply(const platform::RegistryChange &change);
     void applyConfiguration(fleet::Configuration configuration);
@@ -68,6 +75,7 @@
     fleet::TargetTable m_table;
     std::unordered_map<placement::EngineKey, TargetId> m_ids;
     std::vector<std::function<void(const TargetId &)>> m_endListeners;
+    std::vector<std::function<void()>> m_configurationListeners;
 };
 
 /// @brief The key of a target in placements and messages.
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+// After a restart of the whole fleet all instances resume at once and would choose the same
+// targets: a placement is known to the others some 5 ms later, so a request each few milliseconds
+// and target is what they can tell apart.
+constexpr Milliseconds resumptionSpread = Milliseconds(200);
 constexpr Milliseconds connectionSweep = Milliseconds(1'000);
 
 } // namespace
@@ -34,6 +38,7 @@
     m_targets = &m_registry.find<TargetPool>();
     m_metrics = &m_registry.find<MetricsService>();
     addGauges();
+    m_fleet->onConfigured([this] { resumeWaiting(); });
     m_listener = net::Listener::open(
         m_reactor, m_fleet->settings().callerAddress,
         [this](const Poco::Net::StreamSocket &socket) {
@@ -117,11 +122,22 @@
         return;
     }
     const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
-        ExchangeServices { m_reactor, *m_placement, *m_targets, *this, *m_metrics }, connection,
-        std::move(head), std::move(body));
+        ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets, *this, *m_metrics },
+        connection, std::move(head), std::move(body));
     m_exchanges.emplace(exchange.get(), exchange);
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
-    exchange->start(m_fleet->configuration(), draw);
+    exchange->start(draw);
+}
+
+void IngressService::resumeWaiting()
+{
+    std::uniform_int_distribution<std::int64_t> delays(0, resumptionSpread.count());
+    for (const auto &[key, exchange] : m_exchanges) {
+        m_reactor.after(Milliseconds(delays(m_random)), [weak = std::weak_ptr<Exchange>(exchange)] {
+            if (const std::shared_ptr<Exchange> resumed = weak.lock())
+                resumed->noteConfigured();
+        });
+    }
 }
 
 fleet::CallerLimits IngressService::limits() const
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -67,6 +67,7 @@
     bool isStopping() const override { return m_isStopping; }
 
     void addGauges();
+    void resumeWaiting();
 
     net::Reactor &m_reactor;
     kernel::Registry &m_registry;
--- a/apps/node/registry_copies.cpp
+++ b/apps/node/registry_copies.cpp
@@ -27,11 +27,11 @@
 {
     m_fleet = &m_registry.find<FleetService>();
     const instance::Settings &settings = m_fleet->settings();
-    m_listener = net::Listener::open(
-        m_reactor, settings.host + ':' + std::to_string(settings.firstPeerPort),
-        [this](const Poco::Net::StreamSocket &socket) {
-            net::ServerConnection::serve(m_reactor, socket, *this);
-        });
+    m_listener =
+        net::Listener::open(m_reactor, settings.host + ':' + std::to_string(settings.firstPeerPort),
+                            [this](const Poco::Net::StreamSocket &socket) {
+                                net::ServerConnection::serve(m_reactor, socket, *this);
+                            });
 }
 
 void RegistryCopies::ask(const std::string &host, std::function<void(platform::RegistryPage)> done)
--- a/apps/node/registry_copies.h
+++ b/apps/node/registry_copies.h
@@ -37,8 +37,8 @@
     void ask(const std::string &host, std::function<void(platform::RegistryPage)> done);
 
 private:
-    void onRequest(const std::shared_ptr<net::ServerConnection> &connection,
-                   http::RequestHead head, std::string body) override;
+    void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
+                   std::string body) override;
 
     net::Reactor &m_reactor;
     kernel::Registry &m_registry;
--- a/tests/node/registry_test.cpp
+++ b/tests/node/registry_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <thread>
+
 #include "support/site.h"
 
 using namespace egretmount;
@@ -124,6 +126,34 @@
     }
 }
 
+TEST_CASE("all killed while the store is away: who comes before its return is served after it")
+{
+    Site site(subnet, 1);
+    REQUIRE(site.isReady);
+    site.standIn.setScript(plain);
+    site.standIn.setStoreMode(StoreMode::Refuses);
+    site.nodes.process(0).kill();
+    usleep(100'000);
+    site.nodes.start(0);
+    std::thread store([&site] {
+        usleep(600'000);
+        site.standIn.setStoreMode(StoreMode::Serves);
+    });
+    CallerRequest request = plainRequest("read", "early");
+    request.deadlineMs = 8'000;
+    Answer answer;
+    for (int i = 0; i < 50 && answer.status == 0; ++i) {
+        try {
+            answer = site.nodes.ask(0, request);
+        } catch (const Poco::Exception &) {
+            usleep(10'000); // not listening yet
+        }
+    }
+    store.join();
+    CHECK(answer.status == 200);
+    CHECK(answer.took < 1'500_ms);
+}
+
 TEST_CASE("changes that the store's history has lost are read anew")
 {
     Site site(subnet);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -128,9 +128,9 @@
     platform::RegistryCopy copy;
     CHECK(copy.isEmpty());
     copy.noteListing(listed->items, listed->revision);
-    const std::optional<platform::RegistryPage> changes = platform::readPage(
-        R"({"at": 9, "events": [{"key": "op/evacuate/z1", "removed": true},)"
-        R"( {"key": "op/evacuate/z2", "value": "e30="}]})");
+    const std::optional<platform::RegistryPage> changes =
+        platform::readPage(R"({"at": 9, "events": [{"key": "op/evacuate/z1", "removed": true},)"
+                           R"( {"key": "op/evacuate/z2", "value": "e30="}]})");
     REQUIRE(changes);
     copy.noteChanges(changes->items, changes->revision);
     const std::optional<platform::RegistryPage> read = platform::readPage(copy.body());
