Move streams away from engines that read for longer than callers wait

Cause: an engine reads what came last first, and its streams stand still meanwhile. The check for silence waits for the engine's known reading, so it came after the callers had left.

Change: when a part of a second or more is placed, here or by another instance, the streams on its engines whose callers would leave go on elsewhere at once behind their last event, within the retry budget and the route's bound on engines.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <egretmount/core/hash.h>
 #include <egretmount/limits/return_delay.h>
+#include <egretmount/limits/silence.h>
 
 #include "fleet_service.h"
 #include "ingress_service.h"
@@ -19,10 +20,6 @@
 using limits::NextStep;
 using limits::SendFailure;
 
-// Callers abandon a stream after the longest of this time, four latency targets and eight pauses.
-constexpr Milliseconds leastPatience = Milliseconds(2'000);
-constexpr int patienceTargets = 4;
-constexpr int patiencePauses = 8;
 // When to try again after an engine had no memory to set aside.
 constexpr Milliseconds memoryRetryDelay = Milliseconds(150);
 // When to come back after a send that did not run: some other target may have room at once.
@@ -41,12 +38,6 @@
     return text.empty() ? "none" : text;
 }
 
-Milliseconds patienceOf(const fleet::Route &route)
-{
-    return std::max({ leastPatience, route.latencyTarget * patienceTargets,
-                      route.pauseTarget * patiencePauses });
-}
-
 } // namespace
 
 Exchange::Exchange(const ExchangeServices &services,
@@ -174,7 +165,7 @@
     demand.latencyTarget = m_route->latencyTarget;
     demand.waited = m_services.reactor.now() - m_arrivedAt;
     demand.pauseTarget = m_route->pauseTarget;
-    demand.patience = std::min(timeLeft(), patienceOf(*m_route));
+    demand.patience = std::min(timeLeft(), limits::patienceOf(*m_route));
     return m_services.placement.placePrompt(*m_service, demand, m_failedTargets, timeLeft(),
                                             m_waitingWork, m_history.sends > 0);
 }
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -48,6 +48,12 @@
     /// @brief Goes on if it waits for the configuration, which is there now.
     void noteConfigured();
 
+    /// @brief The engine that works on the request. @return Zero if there is none.
+    placement::EngineKey engine() const;
+
+    /// @brief Goes on at another engine if the present one has begun to read for too long.
+    void relocate();
+
     /// @brief Ends the exchange because this instance stops.
     void stop();
 
@@ -68,6 +74,9 @@
     void waitForTurn(const Waiting &waiting);
     void handleRefusal(const Refusal &refusal);
     void handleFailure(limits::SendFailure failure);
+    bool mayMove() const;
+    std::optional<Placement> placeElsewhere();
+    void moveTo(const Placement &placement);
     void watchSilence();
     void onSilent();
     bool isTargetSilent() const;
--- a/apps/node/exchange_silence.cpp
+++ b/apps/node/exchange_silence.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <egretmount/limits/silence.h>
+#include <egretmount/placement/relocation.h>
 
 #include "fleet_service.h"
 #include "ingress_service.h"
@@ -50,39 +51,85 @@
     return limits::isSilent(stream);
 }
 
+bool Exchange::mayMove() const
+{
+    const limits::NextStep step =
+        limits::nextStep(*m_route, limits::SendFailure::Broken, m_history);
+    return step == limits::NextStep::SendAgain || step == limits::NextStep::ResumeElsewhere;
+}
+
+std::optional<Placement> Exchange::placeElsewhere()
+{
+    const auto [position, isAdded] = m_failedTargets.insert(m_placement.target.id);
+    const Decision decision = place();
+    if (isAdded)
+        m_failedTargets.erase(position);
+    const Placement *placement = std::get_if<Placement>(&decision);
+    return placement != nullptr ? std::optional<Placement>(*placement) : std::nullopt;
+}
+
+void Exchange::moveTo(const Placement &placement)
+{
+    m_failedTargets.insert(m_placement.target.id);
+    m_send.cancel();
+    endSend();
+    prepare(placement);
+}
+
 void Exchange::onSilent()
 {
     if (m_isOver)
         return;
-    const limits::NextStep step =
-        limits::nextStep(*m_route, limits::SendFailure::Broken, m_history);
-    const bool mayMove =
-        step == limits::NextStep::SendAgain || step == limits::NextStep::ResumeElsewhere;
-    if (!mayMove || !isTargetSilent()) {
+    if (!mayMove() || !isTargetSilent()) {
         watchSilence();
         return;
     }
     // The present send goes on unless there is something better: a silent target may yet answer.
-    std::set<TargetId> excluded = m_failedTargets;
-    excluded.insert(m_placement.target.id);
-    const TargetId silent = m_placement.target.id;
-    std::swap(excluded, m_failedTargets);
-    const Decision decision = place();
-    const Placement *placement = std::get_if<Placement>(&decision);
-    if (placement == nullptr || !m_services.ingress.takeRepeat(m_service->id)) {
-        if (placement != nullptr)
+    const std::optional<Placement> placement = placeElsewhere();
+    if (!placement || !m_services.ingress.takeRepeat(m_service->id)) {
+        if (placement)
             m_services.placement.noteEnd(placement->work, false);
-        std::swap(excluded, m_failedTargets);
         watchSilence();
         return;
     }
+    const TargetId silent = m_placement.target.id;
     LOG(INFO) << "exchange: target silent id=" << m_caller.requestId << " target=" << silent.value
               << " quiet_ms=" << (m_services.reactor.now() - m_lastEventAt).count()
-              << " events=" << m_scanner.count << " step=" << nameOf(step);
-    m_send.cancel();
-    endSend();
+              << " events=" << m_scanner.count;
     m_services.targets.noteFailure(keyOf(silent), m_service->engine.has_value());
-    prepare(*placement);
+    moveTo(*placement);
+}
+
+placement::EngineKey Exchange::engine() const
+{
+    return m_placement.work != 0 ? keyOf(m_placement.target.id) : 0;
+}
+
+void Exchange::relocate()
+{
+    if (m_isOver || m_placement.work == 0 || !mayMove())
+        return;
+    const Milliseconds now = m_services.reactor.now();
+    placement::StalledStream stream;
+    stream.quietMs = static_cast<double>((now - std::max(m_lastEventAt, m_sentAt)).count());
+    stream.patienceMs = static_cast<double>(limits::patienceOf(*m_route).count());
+    const double stay = m_services.placement.readingBacklog(m_placement.target.id);
+    // No other engine can do better than this; asking for one enters it into the ledger.
+    if (!placement::isWorthMoving(stream, stay, 0))
+        return;
+    const std::optional<Placement> placement = placeElsewhere();
+    if (!placement)
+        return;
+    const bool isBetter = placement::isWorthMoving(stream, stay, placement->expectedMs);
+    const bool isAllowed = isBetter && m_services.ingress.takeRepeat(m_service->id);
+    LOG(INFO) << "exchange: engine reads id=" << m_caller.requestId
+              << " target=" << m_placement.target.id.value << " stay_ms=" << stay
+              << " move_ms=" << placement->expectedMs << " better=" << isBetter
+              << " moved=" << isAllowed;
+    if (isAllowed)
+        moveTo(*placement);
+    else
+        m_services.placement.noteEnd(placement->work, false);
 }
 
 } // namespace egretmount::node
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -39,6 +39,8 @@
     m_metrics = &m_registry.find<MetricsService>();
     addGauges();
     m_fleet->onConfigured([this] { resumeWaiting(); });
+    m_placement->onLongReading(
+        [this](const std::vector<placement::EngineKey> &engines) { relocateFrom(engines); });
     m_listener = net::Listener::open(
         m_reactor, m_fleet->settings().callerAddress,
         [this](const Poco::Net::StreamSocket &socket) {
@@ -140,6 +142,17 @@
     }
 }
 
+void IngressService::relocateFrom(const std::vector<placement::EngineKey> &engines)
+{
+    std::vector<std::shared_ptr<Exchange>> stalled;
+    for (const auto &[key, exchange] : m_exchanges) {
+        if (std::find(engines.begin(), engines.end(), exchange->engine()) != engines.end())
+            stalled.push_back(exchange);
+    }
+    for (const std::shared_ptr<Exchange> &exchange : stalled)
+        exchange->relocate();
+}
+
 fleet::CallerLimits IngressService::limits() const
 {
     return m_fleet->configuration() ? m_fleet->configuration()->limits : fleet::CallerLimits();
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -68,6 +68,7 @@
 
     void addGauges();
     void resumeWaiting();
+    void relocateFrom(const std::vector<placement::EngineKey> &engines);
 
     net::Reactor &m_reactor;
     kernel::Registry &m_registry;
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -8,6 +8,7 @@
 #include <egretmount/core/hash.h>
 #include <egretmount/placement/admission.h>
 #include <egretmount/placement/engine_cost.h>
+#include <egretmount/placement/relocation.h>
 
 #include "fleet_service.h"
 #include "peer_service.h"
@@ -270,7 +271,7 @@
     entry.pauseTarget = demand.pauseTarget;
     entry.placedAt = now;
     entry.expiresAt = now + life;
-    noteLongReading(entry);
+    noteNewWork(entry);
     placement::addWork(m_ledger, std::move(entry));
     m_peers->tellPlaced(placed.work);
     return placed;
@@ -341,8 +342,15 @@
     m_peers->tellEnded(work);
 }
 
-void PlacementService::noteLongReading(const placement::Work &work)
+void PlacementService::noteNewWork(const placement::Work &work)
 {
+    if (work.partMs >= placement::relocationFromMs) {
+        // The work is in the ledger when the listeners ask for the engines' backlogs.
+        m_reactor.defer([this, engines = work.engines] {
+            for (const auto &listener : m_readingListeners)
+                listener(engines);
+        });
+    }
     if (!work.isShort) {
         placement::noteArrival(
             m_longReading, work.partMs * static_cast<double>(work.engines.size()), m_reactor.now());
@@ -354,7 +362,7 @@
     const bool isWriting = work.isWriting;
     const std::uint64_t id = work.id;
     if (findWork(id) == nullptr)
-        noteLongReading(work);
+        noteNewWork(work);
     placement::addWork(m_ledger, std::move(work));
     if (isWriting)
         placement::noteWriting(m_ledger, id, m_reactor.now());
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <random>
 #include <set>
 #include <string>
@@ -111,6 +112,12 @@
     void forgetOwner(const std::string &owner);
     /// @}
 
+    /// @brief Registers who hears that engines begin to read a long part of a prompt.
+    void onLongReading(std::function<void(const std::vector<placement::EngineKey> &)> listener)
+    {
+        m_readingListeners.push_back(std::move(listener));
+    }
+
     const placement::Work *findWork(std::uint64_t id) const;
     const placement::WaitingWork *findWaiting(std::uint64_t id) const;
     std::vector<const placement::Work *> ownWorks() const;
@@ -130,7 +137,7 @@
     placement::Outlook outlook() const;
     placement::LongLane longLane(const fleet::ServiceSpec &service,
                                  const placement::Demand &demand) const;
-    void noteLongReading(const placement::Work &work);
+    void noteNewWork(const placement::Work &work);
     Milliseconds turnOf(const fleet::ServiceSpec &service, const placement::Demand &demand) const;
     Waiting wait(const fleet::ServiceSpec &service, const placement::Demand &demand,
                  Milliseconds life, std::uint64_t work);
@@ -142,6 +149,7 @@
     placement::DemandRate m_longReading; ///< Placed by all instances, milliseconds.
     limits::ColdGate m_coldGate;
     std::mt19937_64 m_random;
+    std::vector<std::function<void(const std::vector<placement::EngineKey> &)>> m_readingListeners;
     std::uint64_t m_nextWork;
     std::uint64_t m_lastTicket = 0;
 };
--- a/include/egretmount/limits/silence.h
+++ b/include/egretmount/limits/silence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <egretmount/core/clock.h>
+#include <egretmount/fleet/configuration.h>
 
 namespace egretmount::limits {
 
@@ -26,6 +27,11 @@
 ///        a busy target, early enough for a second one.
 constexpr double plainSilenceShare = 0.5;
 
+/// @brief How long a caller waits for the next event of a stream before it leaves.
+///
+/// Eight pause targets, four latency targets or two seconds, whichever is longest.
+Milliseconds patienceOf(const fleet::Route &route);
+
 /// @brief True if a stream should look for another target.
 bool isSilent(const StreamSilence &stream);
 
--- a/src/limits/silence.cpp
+++ b/src/limits/silence.cpp
@@ -9,6 +9,11 @@
 constexpr double silentPauses = 2; // pause targets without an event of the stream
 constexpr double silentEstimates = 2; // times the time expected to the first event
 
+// Seen on the callers' side.
+constexpr Milliseconds leastPatience = Milliseconds(2'000);
+constexpr int patienceTargets = 4;
+constexpr int patiencePauses = 8;
+
 double milliseconds(Milliseconds time)
 {
     return static_cast<double>(time.count());
@@ -16,6 +21,12 @@
 
 } // namespace
 
+Milliseconds patienceOf(const fleet::Route &route)
+{
+    return std::max({ leastPatience, route.latencyTarget * patienceTargets,
+                      route.pauseTarget * patiencePauses });
+}
+
 bool isSilent(const StreamSilence &stream)
 {
     const double least = stream.isWriting ? silentPauses * milliseconds(stream.pauseTarget)
--- /dev/null
+++ b/src/placement/relocation.cpp
@@ -0,0 +1,22 @@
+#include <egretmount/placement/relocation.h>
+
+namespace egretmount::placement {
+
+namespace {
+
+// Part of the patience that may be used up: the rest covers the link and estimates that fall short.
+constexpr double patienceShare = 0.7;
+
+bool isAbandoned(const StalledStream &stream, double untilNextEventMs)
+{
+    return stream.quietMs + untilNextEventMs > patienceShare * stream.patienceMs;
+}
+
+} // namespace
+
+bool isWorthMoving(const StalledStream &stream, double stayMs, double moveMs)
+{
+    return isAbandoned(stream, stayMs) && !isAbandoned(stream, moveMs);
+}
+
+} // namespace egretmount::placement
