--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -4,8 +4,6 @@
 
 #include <glog/logging.h>
 
-#include <egretmount/core/hash.h>
-#include <egretmount/limits/return_delay.h>
 #include <egretmount/limits/silence.h>
 
 #include "fleet_service.h"
@@ -73,28 +71,6 @@
         waitForConfiguration();
 }
 
-void Exchange::waitForConfiguration()
-{
-    m_isUnconfigured = true;
-    const std::weak_ptr<Exchange> weak = weak_from_this();
-    m_endTimer = m_services.reactor.after(limits::waitInOutage(m_caller.deadline), [weak] {
-        if (const std::shared_ptr<Exchange> self = weak.lock()) {
-            self->m_endTimer = 0;
-            self->answerNotRun("no-configuration", self->delayInOutage());
-        }
-    });
-}
-
-void Exchange::noteConfigured()
-{
-    if (!m_isUnconfigured || m_isOver)
-        return;
-    m_isUnconfigured = false;
-    m_services.reactor.cancel(m_endTimer);
-    const std::shared_ptr<Exchange> self = shared_from_this();
-    begin();
-}
-
 void Exchange::begin()
 {
     m_configuration = m_services.fleet.configuration();
@@ -144,11 +120,6 @@
     return true;
 }
 
-Milliseconds Exchange::delayInOutage() const
-{
-    return limits::delayInOutage(m_caller.deadline, stableHash(m_caller.requestId));
-}
-
 Milliseconds Exchange::timeLeft() const
 {
     return std::max(m_endsAt - m_services.reactor.now(), Milliseconds());
--- /dev/null
+++ b/apps/node/exchange_outage.cpp
@@ -0,0 +1,35 @@
+#include "exchange.h"
+
+#include <egretmount/core/hash.h>
+#include <egretmount/limits/return_delay.h>
+
+namespace egretmount::node {
+
+void Exchange::waitForConfiguration()
+{
+    m_isUnconfigured = true;
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_endTimer = m_services.reactor.after(limits::waitInOutage(m_caller.deadline), [weak] {
+        if (const std::shared_ptr<Exchange> self = weak.lock()) {
+            self->m_endTimer = 0;
+            self->answerNotRun("no-configuration", self->delayInOutage());
+        }
+    });
+}
+
+void Exchange::noteConfigured()
+{
+    if (!m_isUnconfigured || m_isOver)
+        return;
+    m_isUnconfigured = false;
+    m_services.reactor.cancel(m_endTimer);
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    begin();
+}
+
+Milliseconds Exchange::delayInOutage() const
+{
+    return limits::delayInOutage(m_caller.deadline, stableHash(m_caller.requestId));
+}
+
+} // namespace egretmount::node
--- a/apps/node/exchange_silence.cpp
+++ b/apps/node/exchange_silence.cpp
@@ -107,7 +107,8 @@
 
 void Exchange::relocate()
 {
-    if (m_isOver || m_placement.work == 0 || !mayMove())
+    // A prompt that holds memory at other engines stays; its caller waits for long anyway.
+    if (m_isOver || m_placement.work == 0 || m_tickets || !mayMove())
         return;
     const Milliseconds now = m_services.reactor.now();
     placement::StalledStream stream;
