Ask a silent engine for its report before a request leaves it

Cause: a request left its engine when neither had been heard of for a while. Change: before a prompt leaves, its engine is asked for its load report. It stays while the report shows requests, at most three times; it leaves an engine that does not respond or has no requests. Ruled out: a longer time-out, which would find failed engines later. Test: streams_test, 'a stream stays at a silent target'; limits_test, 'in a wave of long prompts'.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -212,6 +212,7 @@
 {
     m_placement = placement;
     m_isDecoding = false;
+    m_busyReports = 0;
     platform::ForwardFields fields;
     fields.target = placement.target.id;
     fields.team = m_team;
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -91,6 +91,10 @@
     void migrateTo(const Placement &placement);
     void scheduleStallCheck();
     void checkForStall();
+
+    /// @brief Moves a stalled request to another target if there is one.
+    void leaveStalledTarget();
+    void onStalledTargetProbed(limits::TargetState state);
     bool isTargetStalled() const;
     void onCallerGone();
     void onDeadline();
@@ -147,6 +151,8 @@
     Milliseconds m_lastEventAt;
     Milliseconds m_lastForwardedAt;
     Milliseconds m_firstEventAt;
+    Milliseconds m_reportedBusyAt; ///< When the target last reported that it has requests.
+    int m_busyReports = 0; ///< Such reports since the request was sent.
     Milliseconds m_longestEventGap; ///< Longest time between two events sent to the caller.
     net::TimerId m_deadlineTimer = 0;
     net::TimerId m_stallTimer = 0;
--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -42,7 +42,7 @@
     const TargetHealth &health = m_services.targets.health(keyOf(m_placement.target.id));
     limits::StreamActivity stream;
     stream.idleTime = idleTime;
-    stream.targetIdleTime = now - std::max(health.lastReceivedAt, m_sentAt);
+    stream.targetIdleTime = now - std::max({ health.lastReceivedAt, m_sentAt, m_reportedBusyAt });
     stream.isDecoding = m_isDecoding;
     stream.eventGapTarget = m_route->eventGapTarget;
     stream.expectedMs = m_placement.expectedMs;
@@ -83,6 +83,40 @@
         scheduleStallCheck();
         return;
     }
+    if (m_placement.entryId == 0) {
+        leaveStalledTarget();
+        return;
+    }
+    // An engine that is busy with a long prefill is as silent as a failed one, and leaving it would
+    // discard the prefill.
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_services.targets.probe(m_placement.target,
+                             [weak, probed = m_placement.entryId](limits::TargetState state) {
+                                 const std::shared_ptr<Exchange> self = weak.lock();
+                                 if (self && !self->m_isOver
+                                     && self->m_placement.entryId == probed)
+                                     self->onStalledTargetProbed(state);
+                             });
+}
+
+void Exchange::onStalledTargetProbed(limits::TargetState state)
+{
+    // The target may have sent something while the probe was in progress.
+    if (isTargetStalled() && limits::shouldLeaveStalledTarget(state, m_busyReports)) {
+        leaveStalledTarget();
+        return;
+    }
+    LOG(INFO) << "exchange: silent target kept id=" << m_caller.requestId
+              << " target=" << m_placement.target.id.value << " state=" << nameOf(state)
+              << " busy_reports=" << m_busyReports
+              << " quiet_ms=" << (m_services.reactor.now() - m_lastEventAt).count();
+    ++m_busyReports;
+    m_reportedBusyAt = m_services.reactor.now();
+    scheduleStallCheck();
+}
+
+void Exchange::leaveStalledTarget()
+{
     // The current send continues if no other target is available, as the target may still respond.
     const std::optional<Placement> placement = placeElsewhere();
     if (!placement || !m_services.ingress.tryAcquireRetry(m_service->id)) {
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds initialEjectionTime = Milliseconds(700);
 constexpr Milliseconds maxEjectionTime = Milliseconds(5'000);
 constexpr double failureSmoothing = 0.1; // averages over about the last ten sends
+// A report needs no slot, so a working target returns it within milliseconds.
+constexpr Milliseconds probeTimeout = Milliseconds(400);
 
 } // namespace
 
@@ -144,6 +146,31 @@
     return found != m_health.end() && m_reactor.now() < found->second.ejectedUntil;
 }
 
+void TargetPool::probe(const fleet::TargetEntry &target, std::function<void(limits::TargetState)> done)
+{
+    const placement::EngineKey key = keyOf(target.id);
+    Probe &probe = m_probes[key];
+    probe.listeners.push_back(std::move(done));
+    if (probe.client)
+        return;
+    probe.client = std::make_unique<net::HttpClient>(m_reactor, target.address);
+    probe.client->get(std::string(platform::reportPath()), probeTimeout,
+                      [this, key](int status, const std::string &body) {
+                          const limits::TargetState state = platform::targetStateOf(status, body);
+                          // Deferred because it destroys the client that runs this callback.
+                          m_reactor.defer([this, key, state] { onProbeEnded(key, state); });
+                      });
+}
+
+void TargetPool::onProbeEnded(placement::EngineKey target, limits::TargetState state)
+{
+    const auto found = m_probes.find(target);
+    const Probe probe = std::move(found->second);
+    m_probes.erase(found);
+    for (const std::function<void(limits::TargetState)> &listener : probe.listeners)
+        listener(state);
+}
+
 void TargetPool::closeIdle(const TargetId &target)
 {
     m_idle.erase(target.value);
--- a/apps/node/target_pool.h
+++ b/apps/node/target_pool.h
@@ -1,17 +1,21 @@
 #pragma once
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <egretmount/core/clock.h>
 #include <egretmount/fleet/target_table.h>
 #include <egretmount/placement/load_tracker.h>
 
 #include "kernel/service.h"
+#include "net/http_client.h"
 #include "net/reactor.h"
 #include "net/tcp_stream.h"
+#include "platform/orders.h"
 
 namespace egretmount::node {
 
@@ -74,9 +78,24 @@
 
     bool isEjected(placement::EngineKey target) const;
 
+    /// @brief Asks a target for its load report to find out whether it still works on requests.
+    ///
+    /// Calls for the same target that overlap share one request.
+    /// @param done Called once, not before this function returns.
+    void probe(const fleet::TargetEntry &target, std::function<void(limits::TargetState)> done);
+
 private:
     class IdleConnection;
 
+    /// @brief A probe in progress.
+    struct Probe
+    {
+        std::unique_ptr<net::HttpClient> client;
+        std::vector<std::function<void(limits::TargetState)>> listeners;
+    };
+
+    void onProbeEnded(placement::EngineKey target, limits::TargetState state);
+
     void closeIdle(const TargetId &target);
     void closeExpired();
 
@@ -86,6 +105,7 @@
     /// Keyed by target id.
     std::unordered_map<std::string, std::list<std::shared_ptr<IdleConnection>>> m_idle;
     std::unordered_map<placement::EngineKey, TargetHealth> m_health;
+    std::unordered_map<placement::EngineKey, Probe> m_probes;
 };
 
 } // namespace egretmount::node
--- a/include/egretmount/limits/stall_detection.h
+++ b/include/egretmount/limits/stall_detection.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <array>
+
 #include <egretmount/core/clock.h>
+#include <egretmount/core/names.h>
 #include <egretmount/fleet/configuration.h>
 
 namespace egretmount::limits {
@@ -28,6 +31,25 @@
 /// This is late enough for a busy target to respond and early enough for the retry to be served.
 constexpr double stallTimeoutShare = 0.5;
 
+/// @brief What a target's load report says.
+enum class TargetState {
+    Unresponsive, ///< There was no response.
+    Idle, ///< It has no requests.
+    Busy, ///< It has requests, or the report is unreadable.
+};
+
+/// @brief Greatest number of reports of a busy target that keep a request there.
+///
+/// A target that has lost the request looks as busy as one that is slow.
+constexpr int maxBusyReports = 3;
+
+/// @brief Returns whether a request should leave a target that counts as stalled.
+///
+/// A target with a long prefill is as silent as a failed one. Leaving it would discard the prefill,
+/// and would load another target with it when all are busy.
+/// @param busyReports Earlier reports of a busy target since the request was sent.
+bool shouldLeaveStalledTarget(TargetState state, int busyReports);
+
 /// @brief Returns how long a caller waits for the next event of a stream before it disconnects.
 ///
 /// This is the longest of eight event-gap targets, four latency targets and two seconds.
@@ -45,3 +67,14 @@
 bool isStalled(Milliseconds idleTime, Milliseconds lifetime);
 
 } // namespace egretmount::limits
+
+template<>
+struct egretmount::NameTable<egretmount::limits::TargetState>
+{
+    using TargetState = egretmount::limits::TargetState;
+    static constexpr std::array<NameEntry<TargetState>, 3> entries { {
+        { TargetState::Unresponsive, "unresponsive" },
+        { TargetState::Idle, "idle" },
+        { TargetState::Busy, "busy" },
+    } };
+};
--- a/src/limits/stall_detection.cpp
+++ b/src/limits/stall_detection.cpp
@@ -39,6 +39,11 @@
     return milliseconds(stream.targetIdleTime) > timeout && milliseconds(stream.idleTime) > timeout;
 }
 
+bool shouldLeaveStalledTarget(TargetState state, int busyReports)
+{
+    return state != TargetState::Busy || busyReports >= maxBusyReports;
+}
+
 bool isStalled(Milliseconds idleTime, Milliseconds lifetime)
 {
     return milliseconds(idleTime) > stallTimeoutShare * milliseconds(lifetime);
--- a/tests/node/streams_test.cpp
+++ b/tests/node/streams_test.cpp
@@ -187,3 +187,22 @@
     CHECK(response.body == eventsFrom(1, 6));
     CHECK(response.elapsed < 1'900_ms);
 }
+
+TEST_CASE("a stream stays at a silent target that reports work, and its prefill is not repeated")
+{
+    TestCluster cluster(subnet);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript([](const Arrival &) {
+        Script script;
+        script.events = 6;
+        script.firstEventDelay = 1'800_ms; // beyond the time-out for silent targets
+        return script;
+    });
+    CallerRequest request = streamRequest("stream", "slow");
+    request.deadlineMs = 6'000;
+    const Response response = cluster.nodes.sendRequest(0, request, 6'000_ms);
+    CHECK(response.isComplete);
+    CHECK(response.body == eventsFrom(1, 6));
+    CHECK(response.elapsed < 2'300_ms);
+    CHECK(cluster.standIn.arrivalsOf("slow").size() == 1);
+}
--- a/tests/node/support/standin.cpp
+++ b/tests/node/support/standin.cpp
@@ -56,6 +56,7 @@
 
     void reset()
     {
+        setWorking(false);
         if (m_stream)
             m_stream->abort();
         m_isBusy = false;
@@ -93,6 +94,7 @@
 
     void onEnd(net::StreamEnd) override
     {
+        setWorking(false);
         if (m_isBusy)
             ++m_owner.m_abandoned;
         m_isBusy = false;
@@ -108,6 +110,11 @@
         m_arrival.requestId = field("Request-Id");
         m_arrival.at = monotonicNow();
         m_arrival.connection = m_number;
+        if (m_arrival.head.target == "/v1/report") {
+            const std::size_t active = m_owner.m_working.count(m_target);
+            respond(200, "{\"queued\":0,\"active\":" + std::to_string(active) + '}', "");
+            return;
+        }
         if (m_arrival.head.target == "/v1/order") {
             respond(200, "{\"free\":100000}", "");
             return;
@@ -139,10 +146,23 @@
             const std::string last = field("Last-Event-Id");
             if (!last.empty())
                 m_nextEvent = std::stoi(last) + 1;
+            setWorking(true);
             after(m_script.firstEventDelay, [this] { beginStream(); });
         }
     }
 
+    // Whether the target's load report counts the request of this connection.
+    void setWorking(bool isWorking)
+    {
+        if (m_isWorking == isWorking)
+            return;
+        m_isWorking = isWorking;
+        if (isWorking)
+            m_owner.m_working.insert(m_target);
+        else
+            m_owner.m_working.erase(m_owner.m_working.find(m_target));
+    }
+
     void after(Milliseconds delay, std::function<void()> task)
     {
         const std::weak_ptr<TargetConnection> weak = weak_from_this();
@@ -212,6 +232,7 @@
         ++m_sent;
         if (m_nextEvent++ >= m_script.events) {
             m_stream->write(http::lastChunk);
+            setWorking(false);
             m_isBusy = false;
             return;
         }
@@ -226,6 +247,7 @@
     Arrival m_arrival;
     Script m_script;
     http::BodyReader m_reader;
+    bool m_isWorking = false;
     int m_nextEvent = 1;
     int m_sent = 0;
     bool m_hasHead = false;
--- a/tests/node/support/standin.h
+++ b/tests/node/support/standin.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -128,6 +129,7 @@
     std::vector<Arrival> m_arrivals; // guarded by m_mutex
     std::function<Script(const Arrival &)> m_script; // guarded by m_mutex
     std::map<int, std::shared_ptr<Target>> m_targets;
+    std::multiset<std::string> m_working; ///< Targets, one entry for each stream in progress.
     std::map<int, std::string> m_services;
     std::map<int, std::string> m_zones;
     std::map<int, std::string> m_entryAddresses;
--- a/tests/parts/limits_test.cpp
+++ b/tests/parts/limits_test.cpp
@@ -182,3 +182,14 @@
     CHECK(limits::isStalled(900_ms, 1'500_ms));
     CHECK_FALSE(limits::isStalled(600_ms, 1'500_ms));
 }
+
+TEST_CASE("in a wave of long prompts, a busy target keeps its prefill; a lost request leaves")
+{
+    CHECK(limits::shouldLeaveStalledTarget(limits::TargetState::Unresponsive, 0));
+    CHECK(limits::shouldLeaveStalledTarget(limits::TargetState::Idle, 0));
+    CHECK_FALSE(limits::shouldLeaveStalledTarget(limits::TargetState::Busy, 0));
+    CHECK_FALSE(limits::shouldLeaveStalledTarget(limits::TargetState::Busy,
+                                                 limits::maxBusyReports - 1));
+    // A busy target may have lost this request all the same.
+    CHECK(limits::shouldLeaveStalledTarget(limits::TargetState::Busy, limits::maxBusyReports));
+}
