Let eight instances watch the store and pass its changes on

An instance calls the store itself if it is 1.5 s behind or if no watcher is known to have reached the store for 2.5 s, spread over 20 ms for each instance. Small fleets (eight instances and fewer) watch as before.

--- a/apps/node/fleet_service.cpp
+++ b/apps/node/fleet_service.cpp
@@ -12,6 +12,9 @@
 // removal leaves a margin of about 200 ms.
 constexpr Milliseconds unlistedCheckInterval = Milliseconds(100);
 
+// Outages whose ends are this close count as one.
+constexpr Milliseconds outageReportTolerance = Milliseconds(250);
+
 } // namespace
 
 placement::EngineKey keyOf(const TargetId &id)
@@ -99,9 +102,11 @@
               << " evacuated_zones=" << m_table.evacuated.size();
 }
 
-void FleetService::onOutageEnd()
+void FleetService::onOutageEndedAt(Milliseconds endedAt)
 {
-    fleet::markOutageEnded(m_table, m_reactor.now());
+    // Reports of the same outage from several instances differ by the delay of their messages.
+    if (!m_table.hadOutage || endedAt - m_table.outageEndedAt > outageReportTolerance)
+        fleet::markOutageEnded(m_table, endedAt);
 }
 
 void FleetService::applyConfiguration(fleet::Configuration configuration)
--- a/apps/node/fleet_service.h
+++ b/apps/node/fleet_service.h
@@ -50,7 +50,10 @@
     /// @brief Handles the recovery of the store after a failure.
     ///
     /// Targets whose leases expired during the outage get time to register again.
-    void onOutageEnd();
+    void onOutageEnd() { onOutageEndedAt(m_reactor.now()); }
+
+    /// @brief The same for an outage that another instance has noticed.
+    void onOutageEndedAt(Milliseconds endedAt);
 
     /// @brief Registers a listener that is called when a target has restarted or is gone.
     void onTargetEnded(std::function<void(const TargetId &)> listener)
--- a/apps/node/peer_message.capnp
+++ b/apps/node/peer_message.capnp
@@ -103,4 +103,8 @@
   # Requests that are queued at the sender.
   silent @10 :List(Suspicion);
   # Instances that the sender suspects to have failed.
+  registryAgeMs @11 :UInt32 = 0xffffffff;
+  # Time since the sender's copy of the registry was last known to be complete.
+  outageAgeMs @12 :UInt32 = 0xffffffff;
+  # Time since the end of the last registry outage that the sender knows of.
 }
--- a/apps/node/peer_receiving.cpp
+++ b/apps/node/peer_receiving.cpp
@@ -3,6 +3,7 @@
 #include <capnp/serialize-packed.h>
 #include <glog/logging.h>
 
+#include "fleet_service.h"
 #include "peer_messages.h"
 #include "peer_service.h"
 #include "placement_service.h"
@@ -11,6 +12,13 @@
 
 namespace egretmount::node {
 
+namespace {
+
+// Reports of outages that ended earlier have no effect: the grace period after them is over.
+constexpr Milliseconds maxReportedOutageAge = Milliseconds(5'000);
+
+} // namespace
+
 void PeerService::receive(const std::string &sender, const char *data, std::size_t size)
 {
     try {
@@ -20,13 +28,25 @@
         const std::string host = message.getSender();
         applyMembership(host, message);
         applyRequestState(host, message);
-        m_sync->onPeerRevision(host, message.getRegistryRevision());
+        applyRegistryState(host, message);
     } catch (const kj::Exception &error) {
         LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " reason=\""
                      << error.getDescription().cStr() << '"';
     }
 }
 
+void PeerService::applyRegistryState(const std::string &host, wire::PeerMessage::Reader message)
+{
+    const Milliseconds now = m_reactor.now();
+    // First, because targets that lapsed in the outage keep their grace period only if it is known
+    // when their removals arrive.
+    const Milliseconds outageAge(message.getOutageAgeMs());
+    if (outageAge < maxReportedOutageAge && !m_sync->isWatcher())
+        m_fleet->onOutageEndedAt(now - outageAge);
+    m_sync->onPeerRevision(host, message.getRegistryRevision(),
+                           now - Milliseconds(message.getRegistryAgeMs()));
+}
+
 void PeerService::applyMembership(const std::string &host, wire::PeerMessage::Reader message)
 {
     const Milliseconds now = m_reactor.now();
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <limits>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <capnp/serialize-packed.h>
 #include <glog/logging.h>
 
+#include <egretmount/membership/registry_sync.h>
+
 #include "fleet_service.h"
 #include "peer_messages.h"
 #include "placement_service.h"
@@ -40,6 +43,12 @@
 // How long the other instances avoid a target that does not respond to this one.
 constexpr Milliseconds ejectionDuration = Milliseconds(1'000);
 
+std::uint32_t durationField(Milliseconds duration)
+{
+    constexpr std::int64_t greatest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, greatest));
+}
+
 } // namespace
 
 /// @brief The datagram socket of the peer service.
@@ -203,9 +212,7 @@
 {
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
-    message.setSender(m_memberList.self.host);
-    message.setIncarnation(m_memberList.self.incarnation);
-    message.setRegistryRevision(m_sync->revision());
+    writeHeader(message);
     std::vector<const placement::InFlightRequest *> inFlight;
     std::vector<const placement::QueuedRequest *> queued;
     for (const std::uint64_t id : m_pendingPlaced) {
@@ -249,9 +256,7 @@
     const std::vector<const placement::InFlightRequest *> inFlight = m_placement->ownInFlight();
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
-    message.setSender(m_memberList.self.host);
-    message.setIncarnation(m_memberList.self.incarnation);
-    message.setRegistryRevision(m_sync->revision());
+    writeHeader(message);
     message.setIsStatement(true);
     writeRequests(message, inFlight, m_placement->ownQueued(), m_reactor.now());
     return serializePacked(builder);
@@ -282,9 +287,7 @@
 {
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
-    message.setSender(m_memberList.self.host);
-    message.setIncarnation(m_memberList.self.incarnation);
-    message.setRegistryRevision(m_sync->revision());
+    writeHeader(message);
     writeMembers(message, records);
     const std::string datagram = serializePacked(builder);
     for (const std::string &host : hosts) {
@@ -297,11 +300,33 @@
 {
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
+    writeHeader(message);
+    writeSuspicions(message, suspicions);
+    return serializePacked(builder);
+}
+
+void PeerService::writeHeader(wire::PeerMessage::Builder message) const
+{
+    const Milliseconds now = m_reactor.now();
     message.setSender(m_memberList.self.host);
     message.setIncarnation(m_memberList.self.incarnation);
     message.setRegistryRevision(m_sync->revision());
-    writeSuspicions(message, suspicions);
-    return serializePacked(builder);
+    message.setRegistryAgeMs(durationField(m_sync->confirmationAge()));
+    if (m_fleet->table().hadOutage)
+        message.setOutageAgeMs(durationField(now - m_fleet->table().outageEndedAt));
+}
+
+void PeerService::announceRevision()
+{
+    const std::vector<InstanceId> receivers =
+        membership::changeReceivers(InstanceId(m_memberList.self.host), m_living);
+    if (receivers.empty())
+        return;
+    capnp::MallocMessageBuilder builder;
+    writeHeader(builder.initRoot<wire::PeerMessage>());
+    const std::string datagram = serializePacked(builder);
+    for (const InstanceId &receiver : receivers)
+        send(receiver.value, datagram);
 }
 
 void PeerService::updateLiving()
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -63,6 +63,10 @@
     /// @brief Broadcasts that a target does not respond, so that the other instances avoid it too.
     void broadcastEjection(placement::EngineKey target);
 
+    /// @brief Notifies the instances that receive registry changes through this one that it has a
+    ///        new revision.
+    void announceRevision();
+
     /// @brief Returns the hosts that callers may use, without instances that are shutting down.
     std::vector<std::string> servingHosts() const;
 
@@ -94,6 +98,7 @@
     void sendMemberRecords(const std::vector<membership::MemberRecord> &records,
                            const std::vector<std::string> &hosts);
     std::string suspicionMessage(const std::vector<membership::Suspicion> &suspicions);
+    void applyRegistryState(const std::string &host, wire::PeerMessage::Reader message);
     void applyMembership(const std::string &host, wire::PeerMessage::Reader message);
     void applyRequestState(const std::string &host, wire::PeerMessage::Reader message);
     void sendSnapshot();
@@ -101,6 +106,7 @@
     void flush();
     void scheduleFlush(Milliseconds delay);
     Milliseconds progressFlushDelay() const;
+    void writeHeader(wire::PeerMessage::Builder message) const;
     void sendToAll(const std::string &datagram);
     void send(const std::string &host, const std::string &datagram);
     void updateLiving();
--- a/apps/node/registry_snapshots.cpp
+++ b/apps/node/registry_snapshots.cpp
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <egretmount/membership/registry_sync.h>
+
 #include "fleet_service.h"
 
 namespace egretmount::node {
@@ -11,11 +13,12 @@
 // Minimum time between two fetches. A snapshot usually arrives within tens of milliseconds.
 constexpr Milliseconds minFetchInterval = Milliseconds(50);
 
-// Limits the snapshots served per window. After a restart of the whole fleet, all instances fetch
+// Limits the large responses per window. After a restart of the whole fleet, all instances fetch
 // from the first one that has a snapshot. Sending one takes about 30 ms on the slowest link
-// (20 Mbit/s), so four per 200 ms leave bandwidth for callers.
+// (20 Mbit/s), so a few per 200 ms leave bandwidth for callers.
 constexpr Milliseconds servingWindow = Milliseconds(200);
-constexpr int snapshotsPerWindow = 4;
+constexpr int largeResponsesPerWindow = static_cast<int>(membership::changeFanout);
+constexpr std::size_t largeResponseBytes = 32UL * 1024;
 
 } // namespace
 
@@ -39,11 +42,10 @@
                                   std::function<void(platform::RegistryPage)> done)
 {
     const Milliseconds now = m_reactor.now();
-    if ((m_client && m_client->isBusy()) || now - m_lastFetchAt < minFetchInterval)
+    if (isFetching() || now - m_lastFetchAt < minFetchInterval)
         return;
     m_lastFetchAt = now;
-    m_client = std::make_unique<platform::StoreClient>(
-        m_reactor, host + ':' + std::to_string(m_fleet->settings().firstPeerPort));
+    useClientOf(host);
     m_client->list("", [host, done = std::move(done)](
                            tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
         if (!page) {
@@ -57,23 +59,59 @@
     });
 }
 
+void RegistrySnapshots::fetchChanges(const std::string &host, platform::Revision after,
+                                     platform::StoreClient::Done done)
+{
+    if (isFetching())
+        return;
+    useClientOf(host);
+    m_client->watch(after, Milliseconds(), std::move(done));
+}
+
+void RegistrySnapshots::useClientOf(const std::string &host)
+{
+    if (m_client && m_clientHost == host)
+        return;
+    m_clientHost = host;
+    m_client = std::make_unique<platform::StoreClient>(
+        m_reactor, host + ':' + std::to_string(m_fleet->settings().firstPeerPort));
+}
+
 void RegistrySnapshots::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
                                   http::RequestHead head, std::string)
+{
+    int status = 200;
+    const std::string body = responseBody(head.target, status);
+    connection->respond(status, http::reasonPhrase(status), "Content-Type: application/json\r\n",
+                        body);
+}
+
+std::string RegistrySnapshots::responseBody(const std::string &target, int &status)
 {
     const Milliseconds now = m_reactor.now();
     if (now - m_windowStartedAt >= servingWindow) {
         m_windowStartedAt = now;
         m_servedInWindow = 0;
     }
-    int status = 200;
-    if (!platform::isRangePath(head.target))
+    const std::optional<std::variant<platform::ContentsCall, platform::ChangesCall>> call =
+        platform::readSnapshotCall(target);
+    if (!call) {
         status = 404;
-    else if (m_own.isEmpty() || m_servedInWindow >= snapshotsPerWindow)
+        return {};
+    }
+    if (m_own.isEmpty() || m_servedInWindow >= largeResponsesPerWindow) {
         status = 503;
-    else
-        ++m_servedInWindow;
-    connection->respond(status, http::reasonPhrase(status), "Content-Type: application/json\r\n",
-                        status == 200 ? m_own.body() : std::string());
+        return {};
+    }
+    const platform::ChangesCall *changes = std::get_if<platform::ChangesCall>(&*call);
+    const std::optional<std::string> body =
+        changes != nullptr ? m_own.changesBody(changes->after) : m_own.body();
+    if (!body) {
+        status = 410; // the removals after that revision are no longer known
+        return {};
+    }
+    m_servedInWindow += body->size() >= largeResponseBytes ? 1 : 0;
+    return *body;
 }
 
 } // namespace egretmount::node
--- a/apps/node/registry_snapshots.h
+++ b/apps/node/registry_snapshots.h
@@ -18,7 +18,8 @@
 ///        theirs.
 ///
 /// This allows an instance to start while the store does not respond: it loads the snapshot of
-/// another instance and watches the store from that revision.
+/// another instance and watches the store from that revision. It also allows most instances of a
+/// large fleet to receive all changes without calling the store.
 class RegistrySnapshots
     : public kernel::Service
     , private net::RequestHandler
@@ -39,7 +40,21 @@
     /// @param done Called with the snapshot. Failures are only logged.
     void fetchFrom(const std::string &host, std::function<void(platform::RegistryPage)> done);
 
+    /// @brief Fetches the changes after a revision that another instance has received.
+    ///
+    /// Does nothing while a fetch is running.
+    /// @param done Called once with the page or the reason for the failure.
+    void fetchChanges(const std::string &host, platform::Revision after,
+                      platform::StoreClient::Done done);
+
+    bool isFetching() const { return m_client && m_client->isBusy(); }
+
 private:
+    /// @brief Sets the client to one for the given instance. It keeps the connection if the last
+    ///        fetch was from the same instance.
+    void useClientOf(const std::string &host);
+    std::string responseBody(const std::string &target, int &status);
+
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                    std::string body) override;
 
@@ -49,9 +64,10 @@
     std::shared_ptr<net::Listener> m_listener;
     platform::RegistrySnapshot m_own;
     std::unique_ptr<platform::StoreClient> m_client;
+    std::string m_clientHost; ///< Instance that `m_client` calls.
     Milliseconds m_lastFetchAt;
     Milliseconds m_windowStartedAt;
-    int m_servedInWindow = 0; ///< Snapshots served since `m_windowStartedAt`.
+    int m_servedInWindow = 0; ///< Large responses since `m_windowStartedAt`.
 };
 
 } // namespace egretmount::node
--- a/apps/node/registry_sync.cpp
+++ b/apps/node/registry_sync.cpp
@@ -1,6 +1,7 @@
 #include "registry_sync.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <glog/logging.h>
 
@@ -17,18 +18,14 @@
 // Maximum wait of one watch call. A store that stops responding during a watch is detected within
 // this time plus the call's time-out, which is early enough for the bound on applying a
 // configuration after an outage.
-constexpr Milliseconds shortWatchTimeout = Milliseconds(2'500);
-
-// With many instances, only `shortWatcherCount` of them use the short wait; the others use a long
-// one. Every peer message carries the sender's registry revision, so an instance that is behind
-// notices it and restarts its watch.
-constexpr Milliseconds longWatchTimeout = Milliseconds(12'000);
-constexpr std::size_t shortWatcherCount = 5;
+constexpr Milliseconds watchTimeout = Milliseconds(2'500);
 
 // Changes come in bursts, so a short delay before the next watch batches them into one response.
-// The delay grows with the number of instances because all of them call after each change.
-constexpr Milliseconds watchDelayPerInstance = Milliseconds(15);
-constexpr Milliseconds maxWatchDelay = Milliseconds(400);
+// The delay grows with the number of watchers because all of them call after each change.
+constexpr Milliseconds watchDelayPerWatcher = Milliseconds(15);
+
+// How often an instance checks whether it should call the store.
+constexpr Milliseconds callCheckInterval = Milliseconds(100);
 
 // Delays between attempts while the store fails.
 constexpr Milliseconds initialRetryDelay = Milliseconds(150);
@@ -55,42 +52,139 @@
     m_fleet = &m_registry.find<FleetService>();
     m_peers = &m_registry.find<PeerService>();
     m_snapshots = &m_registry.find<RegistrySnapshots>();
-    m_lastResponseAt = m_reactor.now();
-    list();
+    const instance::Settings &settings = m_fleet->settings();
+    m_state.startedAt = m_lastResponseAt = m_reactor.now();
+    m_state.randomBits = stableHash(settings.host);
+    m_state.isContact =
+        std::count(settings.contacts.begin(), settings.contacts.end(), settings.host) > 0;
+    m_reactor.every(callCheckInterval, [this] { callIfDue(); });
+    callIfDue();
+}
+
+Milliseconds RegistrySync::confirmationAge() const
+{
+    constexpr Milliseconds never(std::numeric_limits<std::int64_t>::max());
+    return m_state.hasContents ? m_reactor.now() - m_state.confirmedAt : never;
+}
+
+void RegistrySync::callIfDue()
+{
+    if (m_isCalling || m_reactor.now() < m_callAt)
+        return;
+    updateState();
+    if (!membership::shouldCallRegistry(m_state, m_reactor.now()))
+        return;
+    m_isCalling = true;
+    m_state.calledAt = m_reactor.now();
+    if (m_needsListing)
+        list();
+    else
+        watch();
 }
 
-void RegistrySync::onPeerRevision(const std::string &host, platform::Revision revision)
+void RegistrySync::updateState()
 {
-    const Milliseconds now = m_reactor.now();
-    if (m_revision == 0 && revision > 0) {
+    const std::vector<InstanceId> &living = m_peers->living();
+    m_state.isWatcher =
+        membership::isRegistryWatcher(InstanceId(m_fleet->settings().host), living);
+    m_state.hasContents = m_revision != 0;
+    m_state.instances = living.size();
+}
+
+void RegistrySync::callAfter(Milliseconds delay)
+{
+    m_callAt = m_reactor.now() + delay;
+    m_reactor.after(delay, [this] { callIfDue(); });
+}
+
+void RegistrySync::onPeerRevision(const std::string &host, platform::Revision revision,
+                                  Milliseconds confirmedAt)
+{
+    if (revision == 0)
+        return;
+    if (m_revision == 0) {
         m_snapshots->fetchFrom(host,
-                               [this](const platform::RegistryPage &page) { onSnapshot(page); });
+                               [this](const platform::RegistryPage &page) { applyListing(page); });
         return;
     }
-    if (revision <= m_revision || m_needsListing) {
-        m_behindSince = Milliseconds();
+    if (revision <= m_revision) {
+        if (revision == m_revision)
+            m_state.confirmedAt = std::max(m_state.confirmedAt, confirmedAt);
         return;
     }
-    if (m_behindSince == Milliseconds())
-        m_behindSince = now;
-    const bool isStale = m_isWatching && m_failures == 0
-                         && now - std::max(m_behindSince, m_watchStartedAt) > staleWatchTimeout;
-    if (!isStale)
+    if (m_state.behindSince == Milliseconds())
+        m_state.behindSince = m_reactor.now();
+    const bool isWatchWorking = m_state.isWatcher && m_failures == 0;
+    if (isWatchWorking)
+        restartStaleWatch(revision);
+    else if (m_reactor.now() - m_state.behindSince >= membership::changeSourceTimeout
+             || membership::changeSource(InstanceId(m_fleet->settings().host), m_peers->living())
+                    == InstanceId(host))
+        fetchChanges(host);
+}
+
+void RegistrySync::restartStaleWatch(platform::Revision revision)
+{
+    const Milliseconds behindSince = std::max(m_state.behindSince, m_state.calledAt);
+    if (!m_isWatching || m_reactor.now() - behindSince <= staleWatchTimeout)
         return;
-    m_behindSince = Milliseconds();
     LOG(WARNING) << "registry: restarting stale watch revision=" << m_revision
                  << " seen=" << revision;
     m_client.cancel();
 }
 
-void RegistrySync::onSnapshot(const platform::RegistryPage &page)
+void RegistrySync::fetchChanges(const std::string &host)
+{
+    m_snapshots->fetchChanges(
+        host, m_revision,
+        [this, host](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
+            onPeerChanges(host, std::move(page));
+        });
+}
+
+void RegistrySync::onPeerChanges(const std::string &host,
+                                 tl::expected<platform::RegistryPage, platform::StoreFailure> page)
 {
-    if (m_revision != 0)
-        return; // the store has responded in the meantime
+    if (page) {
+        LOG(INFO) << "registry: changes received from=" << host << " revision=" << page->revision
+                  << " items=" << page->items.size();
+        applyChanges(*page);
+        return;
+    }
+    LOG(INFO) << "registry: changes not received from=" << host
+              << " reason=" << nameOf(page.error()) << " revision=" << m_revision;
+    if (page.error() != platform::StoreFailure::HistoryCompacted)
+        return; // the next message that announces a revision leads to another attempt
+    m_reactor.defer([this, host] {
+        m_snapshots->fetchFrom(host,
+                               [this](const platform::RegistryPage &all) { applyListing(all); });
+    });
+}
+
+void RegistrySync::applyListing(const platform::RegistryPage &page)
+{
+    if (page.revision <= m_revision)
+        return; // the store or another instance has responded in the meantime
     m_fleet->applyListing(page.changes);
     m_snapshots->own().applyListing(page.items, page.revision);
     m_revision = page.revision;
+    m_state.behindSince = Milliseconds();
+    m_state.hasContents = true;
+    m_state.confirmedAt = m_reactor.now();
     m_needsListing = false;
+    m_peers->announceRevision();
+}
+
+void RegistrySync::applyChanges(const platform::RegistryPage &page)
+{
+    // A page that was requested before a later one arrived would undo changes.
+    if (page.revision <= m_revision)
+        return;
+    m_fleet->applyChanges(page.changes);
+    m_snapshots->own().applyChanges(page.items, page.revision);
+    m_revision = page.revision;
+    m_state.behindSince = Milliseconds();
+    m_peers->announceRevision();
 }
 
 void RegistrySync::list()
@@ -123,21 +217,18 @@
         return;
     }
     onSuccess();
-    m_fleet->applyListing(m_pendingListing.changes);
-    m_snapshots->own().applyListing(m_pendingListing.items, m_pendingListing.revision);
-    m_revision = std::max(m_revision, m_pendingListing.revision);
-    m_pendingListing = {};
+    applyListing(m_pendingListing);
     m_needsListing = false;
-    watch();
+    m_pendingListing = {};
+    callIfDue();
 }
 
 void RegistrySync::watch()
 {
     m_isWatching = true;
-    m_watchStartedAt = m_reactor.now();
     // While the store fails, a call without a wait detects its recovery fastest.
-    const Milliseconds timeout = m_failures > 0 ? Milliseconds() : watchTimeout();
-    m_client.watch(m_revision, timeout,
+    const bool isLong = m_state.isWatcher && m_failures == 0;
+    m_client.watch(m_revision, isLong ? watchTimeout : Milliseconds(),
                    [this](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
                        onChanges(std::move(page));
                    });
@@ -151,39 +242,29 @@
         return;
     }
     onSuccess();
-    m_fleet->applyChanges(page->changes);
-    m_snapshots->own().applyChanges(page->items, page->revision);
-    m_revision = std::max(m_revision, page->revision);
-    if (page->changes.empty()) {
-        watch();
-        return;
-    }
-    m_reactor.after(watchDelay(), [this] { watch(); });
-}
-
-Milliseconds RegistrySync::watchTimeout() const
-{
-    const std::vector<InstanceId> &living = m_peers->living();
-    const std::uint64_t ownHash = stableHash(m_fleet->settings().host);
-    const std::size_t rank = static_cast<std::size_t>(
-        std::count_if(living.begin(), living.end(), [&](const InstanceId &instance) {
-            return stableHash(instance.value) < ownHash;
-        }));
-    return rank < shortWatcherCount ? shortWatchTimeout : longWatchTimeout;
+    if (page->revision >= m_revision)
+        m_state.confirmedAt = m_reactor.now();
+    const bool hasChanges = !page->changes.empty();
+    applyChanges(*page);
+    if (hasChanges)
+        callAfter(watchDelay());
+    else
+        callIfDue();
 }
 
 Milliseconds RegistrySync::watchDelay() const
 {
-    const std::int64_t instances = static_cast<std::int64_t>(m_peers->livingCount());
-    return std::min(watchDelayPerInstance * instances, maxWatchDelay);
+    const std::size_t watchers = std::min(m_peers->livingCount(), membership::maxRegistryWatchers);
+    return watchDelayPerWatcher * static_cast<std::int64_t>(watchers);
 }
 
 void RegistrySync::onFailure(platform::StoreFailure failure)
 {
+    m_isCalling = false;
     if (failure == platform::StoreFailure::HistoryCompacted) {
         LOG(WARNING) << "registry: history compacted, relisting revision=" << m_revision;
         m_needsListing = true;
-        m_reactor.after(Milliseconds(), [this] { list(); });
+        callAfter(Milliseconds());
         return;
     }
     if (m_failures == 0)
@@ -191,20 +272,12 @@
                      << " revision=" << m_revision;
     ++m_failures;
     const Milliseconds maxDelay = m_revision == 0 ? maxRetryDelayBeforeFirstSync : maxRetryDelay;
-    const Milliseconds delay = std::min(initialRetryDelay * std::min(m_failures, 4), maxDelay);
-    m_reactor.after(delay, [this] { retry(); });
-}
-
-void RegistrySync::retry()
-{
-    if (m_needsListing)
-        list();
-    else
-        watch();
+    callAfter(std::min(initialRetryDelay * std::min(m_failures, 4), maxDelay));
 }
 
 void RegistrySync::onSuccess()
 {
+    m_isCalling = false;
     if (m_failures > 0) {
         const Milliseconds outage = m_reactor.now() - m_lastResponseAt;
         LOG(INFO) << "registry: store available again failures=" << m_failures
--- a/apps/node/registry_sync.h
+++ b/apps/node/registry_sync.h
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include <egretmount/membership/registry_sync.h>
+
 #include "kernel/service.h"
 #include "net/reactor.h"
 #include "platform/store_client.h"
@@ -12,10 +14,13 @@
 class PeerService;
 class RegistrySnapshots;
 
-/// @brief Synchronizes the state of the fleet with the platform's store: one listing, then watches.
+/// @brief Synchronizes the state of the fleet with the platform's store.
 ///
-/// A watch returns the changes after a revision. When the store has compacted its history past that
-/// revision, the contents are listed again.
+/// A few instances watch the store: a watch returns the changes after a revision. When the store
+/// has compacted its history past that revision, the contents are listed again. The other instances
+/// load the snapshot of a peer and fetch the changes from the peers that announce them. They call
+/// the store only if their peers do not keep them up to date; see
+/// `membership::shouldCallRegistry`.
 class RegistrySync : public kernel::Service
 {
 public:
@@ -29,22 +34,38 @@
 
     platform::Revision revision() const { return m_revision; }
 
+    /// @brief Returns whether this instance watches the store.
+    bool isWatcher() const { return m_state.isWatcher; }
+
+    /// @brief Returns the time since this instance's copy was last known to be complete.
+    Milliseconds confirmationAge() const;
+
     /// @brief Handles the registry revision reported by another instance.
     ///
-    /// Before the first synchronization, fetches the snapshot of that instance. Later, restarts the
-    /// watch if it fails to deliver a revision that the other instance already has.
-    void onPeerRevision(const std::string &host, platform::Revision revision);
+    /// Before the first synchronization, fetches the snapshot of that instance. Later, fetches the
+    /// changes that this instance has not received, or restarts its watch if that fails to deliver
+    /// them.
+    /// @param confirmedAt When the other instance's copy was last known to be complete.
+    void onPeerRevision(const std::string &host, platform::Revision revision,
+                        Milliseconds confirmedAt);
 
 private:
+    /// @brief Calls the store if it is time to.
+    void callIfDue();
+    void updateState();
     void list();
-    void onSnapshot(const platform::RegistryPage &page);
     void onListingPage(tl::expected<platform::RegistryPage, platform::StoreFailure> page);
     void watch();
     void onChanges(tl::expected<platform::RegistryPage, platform::StoreFailure> page);
     void onFailure(platform::StoreFailure failure);
     void onSuccess();
-    void retry();
-    Milliseconds watchTimeout() const;
+    void callAfter(Milliseconds delay);
+    void restartStaleWatch(platform::Revision revision);
+    void fetchChanges(const std::string &host);
+    void onPeerChanges(const std::string &host,
+                       tl::expected<platform::RegistryPage, platform::StoreFailure> page);
+    void applyListing(const platform::RegistryPage &page);
+    void applyChanges(const platform::RegistryPage &page);
     Milliseconds watchDelay() const;
 
     net::Reactor &m_reactor;
@@ -55,11 +76,12 @@
     RegistrySnapshots *m_snapshots = nullptr;
     platform::RegistryPage m_pendingListing; ///< Pages received of the current listing.
     platform::Revision m_revision = 0;
-    Milliseconds m_watchStartedAt;
+    membership::RegistrySyncState m_state;
     Milliseconds m_lastResponseAt;
-    Milliseconds m_behindSince; ///< When a later revision became known; zero: none is.
-    int m_failures = 0;
-    bool m_isWatching = false;
+    Milliseconds m_callAt; ///< A call is scheduled for this time.
+    int m_failures = 0; ///< Consecutive failed calls.
+    bool m_isCalling = false;
+    bool m_isWatching = false; ///< The call in progress is a watch.
     bool m_needsListing = true;
 };
 
--- /dev/null
+++ b/include/egretmount/membership/registry_sync.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include <egretmount/core/clock.h>
+#include <egretmount/core/ids.h>
+
+namespace egretmount::membership {
+
+/// @brief Greatest number of instances that watch the registry. The others receive its changes from
+///        their peers, so that the number of registry calls does not grow with the fleet.
+constexpr std::size_t maxRegistryWatchers = 8;
+
+/// @brief Greatest number of instances that one instance notifies of a change.
+///
+/// With eight watchers, two hops reach 344 instances, and a large configuration needs at most six
+/// transfers on the link of one instance.
+constexpr std::size_t changeFanout = 6;
+
+/// @brief Returns whether an instance watches the registry.
+/// @param living Living instances, including `self`.
+/// @complexity Linear in the number of instances.
+bool isRegistryWatcher(const InstanceId &self, const std::vector<InstanceId> &living);
+
+/// @brief Returns the instances that `self` notifies when it has received a change.
+///
+/// The living instances form trees, ordered by the hash of their address, with the watchers as the
+/// roots. Each instance that is not a watcher has exactly one parent.
+/// @param living Living instances, including `self`.
+/// @complexity N log N in the number of instances.
+std::vector<InstanceId> changeReceivers(const InstanceId &self,
+                                        const std::vector<InstanceId> &living);
+
+/// @brief Returns the instance that notifies `self` of changes, or nothing if `self` is a watcher.
+/// @param living Living instances, including `self`.
+/// @complexity N log N in the number of instances.
+std::optional<InstanceId> changeSource(const InstanceId &self,
+                                       const std::vector<InstanceId> &living);
+
+/// @brief An instance fetches a change from any peer that has it if it has been behind for this
+///        long. Before that, it waits for its source, because the first instances that have the
+///        change could not serve all others at once.
+constexpr Milliseconds changeSourceTimeout = Milliseconds(400);
+
+/// @brief What an instance knows about its copy of the registry.
+struct RegistrySyncState
+{
+    bool isWatcher = false;
+    bool hasContents = false; ///< A listing or the snapshot of a peer has been applied.
+    bool isContact = false; ///< Starting instances look for the fleet at this one.
+    std::size_t instances = 1; ///< Living instances.
+    std::uint64_t randomBits = 0; ///< Differs between instances and spreads their calls over time.
+    Milliseconds startedAt;
+    Milliseconds calledAt; ///< Last own call to the registry; zero: none yet.
+    /// Last time at which this copy is known to have been complete, from an own call or from a
+    /// peer.
+    Milliseconds confirmedAt;
+    Milliseconds behindSince; ///< When a peer first reported a later revision; zero: none has.
+};
+
+/// @brief Time that a starting instance waits for the snapshot of a peer before it lists the
+///        registry. Contacts do not wait.
+constexpr Milliseconds snapshotTimeout = Milliseconds(400);
+
+/// @brief The end of `snapshotTimeout` is spread over this time.
+constexpr Milliseconds snapshotTimeoutSpread = Milliseconds(600);
+
+/// @brief An instance that is not a watcher calls the registry if it has been behind for this long,
+///        because its peers do not pass the change on.
+constexpr Milliseconds maxTimeBehind = Milliseconds(1'500);
+
+/// @brief An instance that is not a watcher calls the registry if no watcher is known to have
+///        reached it for this long.
+constexpr Milliseconds maxConfirmationAge = Milliseconds(2'500);
+
+/// @brief Shortest time between two such calls of one instance.
+constexpr Milliseconds minCallInterval = Milliseconds(600);
+
+/// @brief During an outage, the interval between two calls of one instance grows by this for each
+///        living instance. All of them together make at most 50 calls a second.
+constexpr Milliseconds callIntervalPerInstance = Milliseconds(20);
+
+/// @brief Returns whether an instance should call the registry now. It calls this regularly while
+///        it has no call in progress.
+bool shouldCallRegistry(const RegistrySyncState &state, Milliseconds now);
+
+} // namespace egretmount::membership
--- /dev/null
+++ b/src/membership/registry_sync.cpp
@@ -0,0 +1,107 @@
+#include <egretmount/membership/registry_sync.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <egretmount/core/hash.h>
+
+namespace egretmount::membership {
+
+namespace {
+
+Milliseconds callInterval(const RegistrySyncState &state)
+{
+    return std::max(minCallInterval,
+                    callIntervalPerInstance * static_cast<std::int64_t>(state.instances));
+}
+
+Milliseconds spreadOver(const RegistrySyncState &state, Milliseconds period)
+{
+    return Milliseconds(static_cast<std::int64_t>(
+        state.randomBits % static_cast<std::uint64_t>(period.count() + 1)));
+}
+
+// Returns the living instances in the order of their hashes. The watchers come first, and each
+// instance comes after its source.
+std::vector<const InstanceId *> treeOrder(const std::vector<InstanceId> &living)
+{
+    std::vector<std::pair<std::uint64_t, const InstanceId *>> hashes;
+    hashes.reserve(living.size());
+    for (const InstanceId &instance : living)
+        hashes.emplace_back(stableHash(instance.value), &instance);
+    std::sort(hashes.begin(), hashes.end());
+    std::vector<const InstanceId *> order;
+    order.reserve(hashes.size());
+    for (const auto &[hash, instance] : hashes)
+        order.push_back(instance);
+    return order;
+}
+
+std::size_t placeOf(const InstanceId &self, const std::vector<const InstanceId *> &order)
+{
+    const auto found = std::find_if(order.begin(), order.end(),
+                                    [&](const InstanceId *instance) { return *instance == self; });
+    return static_cast<std::size_t>(found - order.begin());
+}
+
+bool hasCalledWithin(const RegistrySyncState &state, Milliseconds interval, Milliseconds now)
+{
+    return state.calledAt != Milliseconds() && now - state.calledAt < interval;
+}
+
+} // namespace
+
+bool isRegistryWatcher(const InstanceId &self, const std::vector<InstanceId> &living)
+{
+    const std::uint64_t ownHash = stableHash(self.value);
+    const auto before =
+        std::count_if(living.begin(), living.end(), [&](const InstanceId &instance) {
+            return stableHash(instance.value) < ownHash;
+        });
+    return static_cast<std::size_t>(before) < maxRegistryWatchers;
+}
+
+std::vector<InstanceId> changeReceivers(const InstanceId &self,
+                                        const std::vector<InstanceId> &living)
+{
+    if (living.size() <= maxRegistryWatchers)
+        return {};
+    const std::vector<const InstanceId *> order = treeOrder(living);
+    std::vector<InstanceId> receivers;
+    const std::size_t first = maxRegistryWatchers + placeOf(self, order) * changeFanout;
+    for (std::size_t i = first; i < first + changeFanout && i < order.size(); ++i)
+        receivers.push_back(*order[i]);
+    return receivers;
+}
+
+std::optional<InstanceId> changeSource(const InstanceId &self,
+                                       const std::vector<InstanceId> &living)
+{
+    const std::vector<const InstanceId *> order = treeOrder(living);
+    const std::size_t place = placeOf(self, order);
+    if (place < maxRegistryWatchers)
+        return std::nullopt;
+    return *order[(place - maxRegistryWatchers) / changeFanout];
+}
+
+bool shouldCallRegistry(const RegistrySyncState &state, Milliseconds now)
+{
+    if (!state.hasContents) {
+        if (state.isContact)
+            return true;
+        return now - state.startedAt
+                   >= snapshotTimeout + spreadOver(state, snapshotTimeoutSpread)
+               && !hasCalledWithin(state, callInterval(state), now);
+    }
+    if (state.isWatcher)
+        return true;
+    const bool isBehind =
+        state.behindSince != Milliseconds() && now - state.behindSince >= maxTimeBehind;
+    if (isBehind && !hasCalledWithin(state, minCallInterval, now))
+        return true;
+    const Milliseconds interval = callInterval(state);
+    return now - state.confirmedAt >= maxConfirmationAge + spreadOver(state, interval)
+           && !hasCalledWithin(state, interval, now);
+}
+
+} // namespace egretmount::membership
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -142,3 +142,52 @@
     CHECK(read->items[1].key == "servers/i-1");
     CHECK(read->items[1].encodedValue == "eyJhIjoxfQ==");
 }
+
+TEST_CASE("a registry snapshot returns the latest change of each key after a revision")
+{
+    platform::RegistrySnapshot snapshot;
+    snapshot.applyListing({ { "servers/i-1", "QQ==", false }, { "servers/i-2", "Qg==", false } }, 5);
+    snapshot.applyChanges({ { "servers/i-2", "", true } }, 7);
+    snapshot.applyChanges({ { "op/config", "MQ==", false } }, 8);
+    snapshot.applyChanges({ { "op/config", "Mg==", false }, { "servers/i-1", "QUE=", false } }, 10);
+    CHECK_FALSE(snapshot.changesBody(4)); // removals before the listing are unknown
+    const std::optional<std::string> body = snapshot.changesBody(5);
+    REQUIRE(body);
+    const std::optional<platform::RegistryPage> page = platform::readPage(*body);
+    REQUIRE(page);
+    CHECK(page->revision == 10);
+    REQUIRE(page->items.size() == 3);
+    CHECK(page->items[0].isRemoved);
+    CHECK(page->items[0].key == "servers/i-2");
+    CHECK(page->items[1].encodedValue == "Mg==");
+    CHECK(page->items[2].key == "servers/i-1");
+    const std::optional<platform::RegistryPage> later = platform::readPage(*snapshot.changesBody(8));
+    REQUIRE(later);
+    CHECK(later->items.size() == 2);
+    const std::optional<platform::RegistryPage> none = platform::readPage(*snapshot.changesBody(10));
+    REQUIRE(none);
+    CHECK(none->items.empty());
+}
+
+TEST_CASE("a registry snapshot keeps a bounded number of removals")
+{
+    platform::RegistrySnapshot snapshot;
+    snapshot.applyListing({}, 1);
+    const platform::Revision last = 1 + 2 * platform::RegistrySnapshot::maxRemovals;
+    for (platform::Revision revision = 2; revision <= last; ++revision)
+        snapshot.applyChanges({ { "servers/i-" + std::to_string(revision), "", true } }, revision);
+    CHECK_FALSE(snapshot.changesBody(1));
+    CHECK(snapshot.changesBody(last - 100));
+}
+
+TEST_CASE("a call of another instance is recognized by its path and its revision")
+{
+    const auto call = [](const std::string &target) { return platform::readSnapshotCall(target); };
+    REQUIRE(call("/v1/kv-range?prefix="));
+    CHECK(std::holds_alternative<platform::ContentsCall>(*call("/v1/kv-range?prefix=")));
+    REQUIRE(call("/v1/kv-watch?prefix=&after=42&waitMs=0"));
+    CHECK(std::get<platform::ChangesCall>(*call("/v1/kv-watch?prefix=&after=42&waitMs=0")).after
+          == 42);
+    CHECK_FALSE(call("/v1/kv-watch?prefix="));
+    CHECK_FALSE(call("/v1/ready"));
+}
