Announce short requests within cells of the fleet

Cause: each placement, first event and end of a request went to all instances: at 295 instances some 1,000 datagrams a second into each, on 0.12 cores. Each instance also estimated the demand from its own one request a second, so instances disagreed on the size of the short pool. Long requests and short ones placed elsewhere still go to all. The demand of short requests is that of the cell, from its members' announcements.

--- a/apps/node/fleet_service.cpp
+++ b/apps/node/fleet_service.cpp
@@ -1,5 +1,7 @@
 #include "fleet_service.h"
 
+#include <algorithm>
+
 #include <glog/logging.h>
 
 #include <egretmount/core/hash.h>
@@ -46,6 +48,18 @@
     return target == m_table.targets.end() ? nullptr : &target->second;
 }
 
+std::size_t FleetService::engineCount() const
+{
+    if (!m_configuration)
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(m_table.targets.begin(), m_table.targets.end(), [this](const auto &entry) {
+            const fleet::ServiceSpec *service =
+                fleet::findService(*m_configuration, entry.second.entry.service);
+            return service != nullptr && service->engine.has_value();
+        }));
+}
+
 void FleetService::applyChanges(const std::vector<platform::RegistryChange> &changes)
 {
     std::vector<TargetId> removed;
--- a/apps/node/fleet_service.h
+++ b/apps/node/fleet_service.h
@@ -39,6 +39,9 @@
     /// @brief Returns the target with the given key, or null if it is unknown.
     const fleet::Target *findTarget(placement::EngineKey key) const;
 
+    /// @brief Returns the number of targets that serve prompts.
+    std::size_t engineCount() const;
+
     /// @brief Applies changes of the platform's store, in order.
     void applyChanges(const std::vector<platform::RegistryChange> &changes);
 
--- a/apps/node/peer_message.capnp
+++ b/apps/node/peer_message.capnp
@@ -52,6 +52,8 @@
   memory @12 :List(UInt32);
   # Tokens of memory held at each engine, in the order of `engines`. Engines beyond the end of this
   # list hold none.
+  isCellLocal @13 :Bool;
+  # Only the instances of the sender's cell receive messages about this request.
 }
 
 struct QueuedRequest {
--- a/apps/node/peer_messages.cpp
+++ b/apps/node/peer_messages.cpp
@@ -31,6 +31,7 @@
         static_cast<std::uint32_t>(std::max<std::int64_t>((request.expiresAt - now).count(), 0)));
     out.setIsWriting(request.isDecoding);
     out.setIsShort(request.isShort);
+    out.setIsCellLocal(request.isCellLocal);
     out.setLatencyTargetMs(static_cast<std::uint32_t>(request.latencyTarget.count()));
     out.setDueInMs(static_cast<std::int32_t>((request.dueAt - now).count()));
 }
@@ -87,6 +88,7 @@
     request.expiresAt = now + Milliseconds(in.getLifeMs());
     request.isDecoding = in.getIsWriting();
     request.isShort = in.getIsShort();
+    request.isCellLocal = in.getIsCellLocal();
     request.latencyTarget = Milliseconds(in.getLatencyTargetMs());
     request.dueAt = now + Milliseconds(in.getDueInMs());
     return request;
--- a/apps/node/peer_receiving.cpp
+++ b/apps/node/peer_receiving.cpp
@@ -78,7 +78,7 @@
         m_firstPeerAt = now;
     // A restarted instance has no state yet: send it the member list and a snapshot immediately.
     sendMemberRecords(membership::makeDigest(m_memberList, now), changedHosts);
-    const std::string snapshot = snapshotMessage();
+    const std::string snapshot = snapshotMessage(Audience::Cell);
     for (const std::string &changedHost : changedHosts)
         send(changedHost, snapshot);
 }
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <limits>
+#include <utility>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -28,6 +29,7 @@
 // The delay grows with the number of instances because each message goes to all of them.
 constexpr Milliseconds minProgressFlushDelay = Milliseconds(20);
 constexpr Milliseconds progressFlushDelayPerInstance = Milliseconds(2);
+constexpr Milliseconds maxProgressFlushDelay = Milliseconds(150);
 // Interval of full-state snapshots, which repair the effects of lost datagrams.
 constexpr Milliseconds snapshotInterval = Milliseconds(1'000);
 // The snapshot interval grows by one `snapshotInterval` for each group of this many instances.
@@ -129,7 +131,7 @@
     updateLiving();
     announceJoin();
     m_reactor.every(membership::heartbeatInterval, [this] { runMembershipRound(); });
-    m_reactor.every(snapshotInterval, [this] { sendSnapshot(); });
+    m_reactor.every(snapshotInterval, [this] { sendSnapshots(); });
 }
 
 void PeerService::stop()
@@ -145,35 +147,42 @@
     sendMemberRecords({ m_memberList.self }, membership::livingHosts(m_memberList));
 }
 
-void PeerService::broadcastPlaced(std::uint64_t id)
+void PeerService::broadcastPlaced(std::uint64_t id, Audience audience)
 {
-    m_pendingPlaced.push_back(id);
-    scheduleFlush(placementFlushDelay);
+    outboxOf(audience).placed.push_back(id);
+    scheduleFlush(audience, placementFlushDelay);
 }
 
 void PeerService::broadcastDecoding(std::uint64_t id, placement::EngineKey target,
-                                    std::optional<int> inFlight)
+                                    std::optional<int> inFlight, Audience audience)
 {
-    m_pendingProgress.push_back({ id, target, inFlight });
-    scheduleFlush(progressFlushDelay());
+    outboxOf(audience).progress.push_back({ id, target, inFlight });
+    scheduleFlush(audience, progressFlushDelay(audience));
 }
 
-Milliseconds PeerService::progressFlushDelay() const
+void PeerService::broadcastEnded(std::uint64_t id, Audience audience)
 {
-    return std::max(minProgressFlushDelay,
-                    progressFlushDelayPerInstance * static_cast<std::int64_t>(m_living.size()));
+    outboxOf(audience).ended.push_back(id);
+    scheduleFlush(audience, progressFlushDelay(audience));
 }
 
-void PeerService::broadcastEnded(std::uint64_t id)
+void PeerService::broadcastEjection(placement::EngineKey target)
 {
-    m_pendingEnded.push_back(id);
-    scheduleFlush(progressFlushDelay());
+    m_fleetOutbox.ejections.push_back(target);
+    scheduleFlush(Audience::Fleet, placementFlushDelay);
 }
 
-void PeerService::broadcastEjection(placement::EngineKey target)
+PeerService::Outbox &PeerService::outboxOf(Audience audience)
+{
+    return audience == Audience::Cell ? m_cellOutbox : m_fleetOutbox;
+}
+
+Milliseconds PeerService::progressFlushDelay(Audience audience) const
 {
-    m_pendingEjections.push_back(target);
-    scheduleFlush(placementFlushDelay);
+    const std::size_t receivers =
+        audience == Audience::Cell ? m_cell.members.size() : m_living.size();
+    return std::clamp(progressFlushDelayPerInstance * static_cast<std::int64_t>(receivers),
+                      minProgressFlushDelay, maxProgressFlushDelay);
 }
 
 void PeerService::announceJoin()
@@ -195,65 +204,79 @@
     return membership::servingHosts(m_memberList);
 }
 
-void PeerService::scheduleFlush(Milliseconds delay)
+void PeerService::scheduleFlush(Audience audience, Milliseconds delay)
 {
+    Outbox &outbox = outboxOf(audience);
     const Milliseconds at = m_reactor.now() + delay;
-    if (m_flushTimer != 0 && m_flushAt <= at)
+    if (outbox.flushTimer != 0 && outbox.flushAt <= at)
         return;
-    m_reactor.cancel(m_flushTimer);
-    m_flushAt = at;
-    m_flushTimer = m_reactor.after(delay, [this] {
-        m_flushTimer = 0;
-        flush();
+    m_reactor.cancel(outbox.flushTimer);
+    outbox.flushAt = at;
+    outbox.flushTimer = m_reactor.after(delay, [this, audience] {
+        outboxOf(audience).flushTimer = 0;
+        flush(audience);
     });
 }
 
-void PeerService::flush()
+void PeerService::flush(Audience audience)
 {
+    const Outbox outbox = std::exchange(outboxOf(audience), {});
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
     writeHeader(message);
     std::vector<const placement::InFlightRequest *> inFlight;
     std::vector<const placement::QueuedRequest *> queued;
-    for (const std::uint64_t id : m_pendingPlaced) {
+    for (const std::uint64_t id : outbox.placed) {
         if (const placement::InFlightRequest *request = m_placement->findInFlight(id))
             inFlight.push_back(request);
         else if (const placement::QueuedRequest *queuedRequest = m_placement->findQueued(id))
             queued.push_back(queuedRequest);
     }
     writeRequests(message, inFlight, queued, m_reactor.now());
-    capnp::List<wire::Progress>::Builder progress = message.initWriting(m_pendingProgress.size());
-    for (unsigned i = 0; i < m_pendingProgress.size(); ++i) {
-        progress[i].setId(m_pendingProgress[i].id);
-        progress[i].setTarget(m_pendingProgress[i].target);
-        progress[i].setInHand(m_pendingProgress[i].inFlight.value_or(-1));
+    capnp::List<wire::Progress>::Builder progress = message.initWriting(outbox.progress.size());
+    for (unsigned i = 0; i < outbox.progress.size(); ++i) {
+        progress[i].setId(outbox.progress[i].id);
+        progress[i].setTarget(outbox.progress[i].target);
+        progress[i].setInHand(outbox.progress[i].inFlight.value_or(-1));
     }
-    capnp::List<std::uint64_t>::Builder ended = message.initEnded(m_pendingEnded.size());
-    for (unsigned i = 0; i < m_pendingEnded.size(); ++i)
-        ended.set(i, m_pendingEnded[i]);
+    capnp::List<std::uint64_t>::Builder ended = message.initEnded(outbox.ended.size());
+    for (unsigned i = 0; i < outbox.ended.size(); ++i)
+        ended.set(i, outbox.ended[i]);
     capnp::List<wire::Ejection>::Builder ejections =
-        message.initDistrusted(m_pendingEjections.size());
-    for (unsigned i = 0; i < m_pendingEjections.size(); ++i) {
-        ejections[i].setTarget(m_pendingEjections[i]);
+        message.initDistrusted(outbox.ejections.size());
+    for (unsigned i = 0; i < outbox.ejections.size(); ++i) {
+        ejections[i].setTarget(outbox.ejections[i]);
         ejections[i].setLeftMs(static_cast<std::uint32_t>(ejectionDuration.count()));
     }
-    m_pendingPlaced.clear();
-    m_pendingProgress.clear();
-    m_pendingEnded.clear();
-    m_pendingEjections.clear();
-    sendToAll(serializePacked(builder));
+    const std::string datagram = serializePacked(builder);
+    if (audience == Audience::Cell)
+        sendToCell(datagram);
+    else
+        sendToAll(datagram);
 }
 
-void PeerService::sendSnapshot()
+void PeerService::sendSnapshots()
 {
-    if (++m_snapshotTicks % (1 + m_living.size() / instancesPerSnapshotTick) != 0)
-        return;
-    sendToAll(snapshotMessage());
+    ++m_snapshotTicks;
+    const auto isDue = [this](std::size_t receivers) {
+        return m_snapshotTicks % (1 + receivers / instancesPerSnapshotTick) == 0;
+    };
+    if (isDue(m_cell.members.size()))
+        sendToCell(snapshotMessage(Audience::Cell));
+    if (m_cell.count > 1 && isDue(m_living.size()))
+        sendOutsideCell(snapshotMessage(Audience::Fleet));
 }
 
-std::string PeerService::snapshotMessage()
+std::string PeerService::snapshotMessage(Audience audience)
 {
-    const std::vector<const placement::InFlightRequest *> inFlight = m_placement->ownInFlight();
+    std::vector<const placement::InFlightRequest *> inFlight = m_placement->ownInFlight();
+    if (audience == Audience::Fleet) {
+        inFlight.erase(std::remove_if(inFlight.begin(), inFlight.end(),
+                                      [](const placement::InFlightRequest *request) {
+                                          return request->isCellLocal;
+                                      }),
+                       inFlight.end());
+    }
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
     writeHeader(message);
@@ -271,6 +294,7 @@
         sendToAll(suspicionMessage(suspicions));
     membership::evictLost(m_memberList, now);
     updateLiving();
+    updateCell();
     sendHeartbeatTo(membership::ownWatchers(m_memberList));
     const std::vector<std::string> receivers =
         membership::digestReceivers(m_memberList, m_random());
@@ -344,6 +368,17 @@
     }
     m_living = std::move(living);
     LOG(INFO) << "peers: living instances=" << m_living.size();
+    updateCell();
+}
+
+void PeerService::updateCell()
+{
+    placement::Cell cell = placement::cellOf(InstanceId(m_memberList.self.host), m_living,
+                                             m_fleet->engineCount());
+    if (cell.count != m_cell.count || cell.index != m_cell.index)
+        LOG(INFO) << "peers: cell index=" << cell.index << " cells=" << cell.count
+                  << " members=" << cell.members.size();
+    m_cell = std::move(cell);
 }
 
 void PeerService::sendToAll(const std::string &datagram)
@@ -354,6 +389,22 @@
     }
 }
 
+void PeerService::sendToCell(const std::string &datagram)
+{
+    for (const InstanceId &instance : m_cell.members) {
+        if (instance.value != m_memberList.self.host)
+            send(instance.value, datagram);
+    }
+}
+
+void PeerService::sendOutsideCell(const std::string &datagram)
+{
+    for (const InstanceId &instance : m_living) {
+        if (!std::binary_search(m_cell.members.begin(), m_cell.members.end(), instance))
+            send(instance.value, datagram);
+    }
+}
+
 void PeerService::send(const std::string &host, const std::string &datagram)
 {
     m_socket->send(Poco::Net::SocketAddress(
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -10,6 +10,7 @@
 #include <Poco/Net/DatagramSocket.h>
 
 #include <egretmount/membership/member_list.h>
+#include <egretmount/placement/cell.h>
 #include <egretmount/placement/load_tracker.h>
 
 #include "kernel/service.h"
@@ -23,6 +24,12 @@
 class RegistrySync;
 class TargetPool;
 
+/// @brief Which instances receive a message about a request.
+enum class Audience {
+    Cell, ///< The instances of this one's cell.
+    Fleet,
+};
+
 /// @brief Replicates membership and the placement of requests between the instances.
 ///
 /// Membership spreads by heartbeats, gossip digests and suspicions; placements are broadcast as
@@ -50,15 +57,15 @@
     void announceLeaving();
 
     /// @brief Broadcasts a request that was placed or queued by this instance.
-    void broadcastPlaced(std::uint64_t id);
+    void broadcastPlaced(std::uint64_t id, Audience audience);
 
     /// @brief Broadcasts that the first event of a request has arrived.
     /// @param inFlight Number of in-flight requests as reported by the target, if it reported one.
     void broadcastDecoding(std::uint64_t id, placement::EngineKey target,
-                           std::optional<int> inFlight);
+                           std::optional<int> inFlight, Audience audience);
 
     /// @brief Broadcasts that a request has ended.
-    void broadcastEnded(std::uint64_t id);
+    void broadcastEnded(std::uint64_t id, Audience audience);
 
     /// @brief Broadcasts that a target does not respond, so that the other instances avoid it too.
     void broadcastEjection(placement::EngineKey target);
@@ -81,6 +88,9 @@
     const std::vector<InstanceId> &living() const { return m_living; }
     std::size_t livingCount() const { return m_living.size(); }
 
+    /// @brief Returns the cell of this instance.
+    const placement::Cell &cell() const { return m_cell; }
+
 private:
     class Socket;
 
@@ -91,6 +101,17 @@
         std::optional<int> inFlight;
     };
 
+    /// @brief Updates that the next flush sends.
+    struct Outbox
+    {
+        std::vector<std::uint64_t> placed;
+        std::vector<Progress> progress;
+        std::vector<std::uint64_t> ended;
+        std::vector<placement::EngineKey> ejections;
+        Milliseconds flushAt; ///< When the pending flush runs.
+        net::TimerId flushTimer = 0;
+    };
+
     void receive(const std::string &sender, const char *data, std::size_t size);
     void runMembershipRound();
     void announceJoin();
@@ -101,13 +122,19 @@
     void applyRegistryState(const std::string &host, wire::PeerMessage::Reader message);
     void applyMembership(const std::string &host, wire::PeerMessage::Reader message);
     void applyRequestState(const std::string &host, wire::PeerMessage::Reader message);
-    void sendSnapshot();
-    std::string snapshotMessage();
-    void flush();
-    void scheduleFlush(Milliseconds delay);
-    Milliseconds progressFlushDelay() const;
+    void sendSnapshots();
+
+    /// @param audience `Fleet`: without the requests that only the cell knows of.
+    std::string snapshotMessage(Audience audience);
+    Outbox &outboxOf(Audience audience);
+    void flush(Audience audience);
+    void scheduleFlush(Audience audience, Milliseconds delay);
+    Milliseconds progressFlushDelay(Audience audience) const;
     void writeHeader(wire::PeerMessage::Builder message) const;
     void sendToAll(const std::string &datagram);
+    void sendToCell(const std::string &datagram);
+    void sendOutsideCell(const std::string &datagram);
+    void updateCell();
     void send(const std::string &host, const std::string &datagram);
     void updateLiving();
 
@@ -120,17 +147,13 @@
     membership::MemberList m_memberList;
     std::vector<InstanceId> m_living;
     std::shared_ptr<Socket> m_socket;
-    // Updates that the next flush broadcasts.
-    std::vector<std::uint64_t> m_pendingPlaced;
-    std::vector<Progress> m_pendingProgress;
-    std::vector<std::uint64_t> m_pendingEnded;
-    std::vector<placement::EngineKey> m_pendingEjections;
-    Milliseconds m_flushAt; ///< When the pending flush runs.
+    placement::Cell m_cell;
+    Outbox m_cellOutbox;
+    Outbox m_fleetOutbox;
     Milliseconds m_startedAt;
     Milliseconds m_firstPeerAt; ///< When the first other instance became known.
     int m_joinAnnouncements = 0;
     std::size_t m_snapshotTicks = 0; ///< Snapshot intervals that have passed.
-    net::TimerId m_flushTimer = 0;
     std::mt19937_64 m_random;
 };
 
--- a/apps/node/placement_remote.cpp
+++ b/apps/node/placement_remote.cpp
@@ -1,5 +1,9 @@
 #include "placement_service.h"
 
+#include <algorithm>
+
+#include "peer_service.h"
+
 namespace egretmount::node {
 
 // Updates from other instances.
@@ -13,8 +17,13 @@
 {
     const bool isDecoding = request.isDecoding;
     const std::uint64_t id = request.id;
-    if (findInFlight(id) == nullptr)
+    if (findInFlight(id) == nullptr) {
         recordNewRequest(request);
+        const std::vector<InstanceId> &members = m_peers->cell().members;
+        if (request.isShort
+            && std::binary_search(members.begin(), members.end(), InstanceId(request.owner)))
+            placement::recordArrival(m_shortDemand, 1, m_reactor.now());
+    }
     placement::addInFlight(m_loadTracker, std::move(request));
     if (isDecoding)
         placement::markDecoding(m_loadTracker, id, m_reactor.now());
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -52,6 +52,11 @@
     return Milliseconds(static_cast<std::int64_t>(std::ceil(milliseconds)));
 }
 
+Audience audienceOf(const placement::InFlightRequest &request)
+{
+    return request.isCellLocal ? Audience::Cell : Audience::Fleet;
+}
+
 } // namespace
 
 PlacementService::PlacementService(net::Reactor &reactor, kernel::ServiceRegistry &registry)
@@ -121,15 +126,18 @@
 
 placement::DemandForecast PlacementService::demandForecast() const
 {
-    // Callers choose instances at random, so each instance receives an equal share of the demand.
-    // The number of tracked in-flight requests is a lower bound of the estimate, as it does not
-    // include refused requests.
-    const double inFlight = static_cast<double>(
-        std::count_if(m_loadTracker.inFlight.begin(), m_loadTracker.inFlight.end(),
-                      [&](const auto &entry) { return entry.second.isShort; }));
-    const double expected = placement::expectedInFlight(m_shortDemand, m_reactor.now())
-                            * static_cast<double>(m_peers->servingHosts().size());
-    return { std::max(inFlight, (inFlight + expected) / 2) };
+    // Callers choose instances at random, so each cell receives an equal share of the demand. The
+    // number of tracked in-flight requests is a lower bound of the estimate, as it does not include
+    // refused requests.
+    const placement::Cell &cell = m_peers->cell();
+    double inFlight = 0;
+    for (const auto &[id, request] : m_loadTracker.inFlight) {
+        if (request.isShort)
+            inFlight += request.isCellLocal ? cell.count : 1;
+    }
+    const double expected =
+        placement::expectedInFlight(m_shortDemand, m_reactor.now()) * cell.count;
+    return { std::max(inFlight, (inFlight + expected) / 2), cell.count, cell.index };
 }
 
 Decision PlacementService::placePrompt(const fleet::ServiceSpec &service, placement::Demand demand,
@@ -241,7 +249,7 @@
     waiting.virtualArrival = virtualArrival(service, demand);
     waiting.expiresAt = m_reactor.now() + timeLeft;
     placement::enqueue(m_loadTracker, waiting);
-    m_peers->broadcastPlaced(waiting.id);
+    m_peers->broadcastPlaced(waiting.id, Audience::Fleet);
     return { waiting.id, queuePollInterval };
 }
 
@@ -283,9 +291,10 @@
     entry.eventGapTarget = demand.eventGapTarget;
     entry.placedAt = now;
     entry.expiresAt = now + timeLeft;
+    entry.isCellLocal = entry.isShort && plan.isWithinCell && m_peers->cell().count > 1;
     recordNewRequest(entry);
     placement::addInFlight(m_loadTracker, std::move(entry));
-    m_peers->broadcastPlaced(placed.entryId);
+    m_peers->broadcastPlaced(placed.entryId, audienceOf(*findInFlight(placed.entryId)));
     return placed;
 }
 
@@ -331,7 +340,7 @@
     placement::markDecoding(m_loadTracker, entryId, m_reactor.now());
     if (inFlight)
         placement::recordEngineReport(m_loadTracker, target, *inFlight, m_reactor.now());
-    m_peers->broadcastDecoding(entryId, target, inFlight);
+    m_peers->broadcastDecoding(entryId, target, inFlight, audienceOf(*known));
 }
 
 double PlacementService::prefillBacklog(const TargetId &target) const
@@ -346,8 +355,9 @@
     const placement::InFlightRequest *known = findInFlight(entryId);
     if (known != nullptr && isCompleted && known->isShort)
         placement::recordCompletion(m_shortDemand, m_reactor.now() - known->placedAt);
+    const Audience audience = known != nullptr ? audienceOf(*known) : Audience::Fleet;
     placement::removeRequest(m_loadTracker, entryId, m_reactor.now());
-    m_peers->broadcastEnded(entryId);
+    m_peers->broadcastEnded(entryId, audience);
 }
 
 void PlacementService::recordNewRequest(const placement::InFlightRequest &request)
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -163,7 +163,7 @@
                               std::uint64_t entryId);
 
     placement::LoadTracker m_loadTracker;
-    placement::DemandRate m_shortDemand; ///< Short requests received by this instance.
+    placement::DemandRate m_shortDemand; ///< Short requests received in this instance's cell.
     placement::DemandRate m_longPrefillDemand; ///< Prefill milliseconds placed by all instances.
     limits::ColdTargetLimiter m_coldTargetLimiter;
     std::mt19937_64 m_random;
--- a/include/egretmount/placement/load_tracker.h
+++ b/include/egretmount/placement/load_tracker.h
@@ -31,6 +31,7 @@
     Milliseconds expiresAt; ///< When no client waits for it any more.
     bool isShort = false; ///< Its prefill hardly delays the streams of its engine.
     bool isDecoding = false; ///< Its first event has been received.
+    bool isCellLocal = false; ///< Only the cell of its owner knows of it; see `Cell`.
 };
 
 /// @brief Known load of one engine.
--- a/include/egretmount/placement/planner.h
+++ b/include/egretmount/placement/planner.h
@@ -39,12 +39,15 @@
     double startDelayMs = 0; ///< If above zero, waiting this long for free engines costs less.
     double firstEventMs = 0; ///< Expected time from now to the first event.
     double cost = 0;
+    bool isWithinCell = false; ///< All engines are in this cell's part of the short pool.
 };
 
 /// @brief Demand that is expected besides the request to place.
 struct DemandForecast
 {
     double shortRequests = 0; ///< Expected short requests in flight at all engines together.
+    int cells = 1; ///< Number of cells that share the short pool; see `Cell`.
+    int ownCell = 0; ///< Number of the cell of this instance.
 };
 
 /// @brief Most engines that prefill one prompt: the primary engine and 16 helpers.
@@ -75,8 +78,9 @@
 /// a smaller one may overtake a long prefill.
 ///
 /// The usable engines with the lowest keys form the short pool, which accepts only small shards of
-/// long prompts. All instances agree on the pool without exchanging a message. The function is
-/// pure: the same arguments give the same plan.
+/// long prompts. All instances agree on the pool without exchanging a message. Its engines belong to
+/// the cells in turn, and short requests prefer those of their own cell. The function is pure: the
+/// same arguments give the same plan.
 /// @return Nothing if no candidate has a free slot and enough memory.
 /// @complexity O(n log n) in the candidates, for each of the nine shard counts that are tried.
 std::optional<Plan> planPlacement(const LoadTracker &tracker, const fleet::EngineSpeed &speed,
--- a/src/placement/engine_load.cpp
+++ b/src/placement/engine_load.cpp
@@ -64,7 +64,7 @@
     return load;
 }
 
-void markShortPool(std::vector<EngineLoad> &loads, int size)
+void markShortPool(std::vector<EngineLoad> &loads, int size, const DemandForecast &forecast)
 {
     std::vector<EngineLoad *> inOrder;
     for (EngineLoad &load : loads) {
@@ -74,8 +74,12 @@
     std::sort(inOrder.begin(), inOrder.end(), [](const EngineLoad *a, const EngineLoad *b) {
         return a->candidate->key < b->candidate->key;
     });
-    for (std::size_t i = 0; i < inOrder.size() && static_cast<int>(i) < size; ++i)
-        inOrder[i]->isInShortPool = true;
+    const int marked = std::min(size, static_cast<int>(inOrder.size()));
+    for (int i = 0; i < marked; ++i) {
+        EngineLoad &load = *inOrder[static_cast<std::size_t>(i)];
+        load.isInShortPool = true;
+        load.isInOwnCell = i % forecast.cells == forecast.ownCell;
+    }
 }
 
 } // namespace egretmount::placement
--- a/src/placement/engine_load.h
+++ b/src/placement/engine_load.h
@@ -34,6 +34,7 @@
     int tightStreams = 0; ///< Streams whose event gap target is no longer than the new one's.
     TokenCount memory = 0; ///< Tokens held by the requests placed there.
     bool isInShortPool = false;
+    bool isInOwnCell = false; ///< It is in this cell's part of the short pool.
     std::vector<DecodeStream> streams;
     std::vector<PendingShard> pending;
 };
@@ -45,6 +46,7 @@
 /// @brief Marks the engines of the short pool: in the order of their keys, the first ones that can
 ///        be both primary and helper.
 /// @param size Number of engines to mark at most.
-void markShortPool(std::vector<EngineLoad> &loads, int size);
+/// @param forecast Says which of them belong to the cell of this instance.
+void markShortPool(std::vector<EngineLoad> &loads, int size, const DemandForecast &forecast);
 
 } // namespace egretmount::placement
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -42,6 +42,9 @@
 constexpr double minLongPoolShare = 0.1;
 // Share lost by a short request that is placed outside the short pool.
 constexpr double outsidePoolCost = 0.1;
+// Share lost by a short request that is placed in another cell's part of the short pool, where the
+// load is known only from reports.
+constexpr double otherCellCost = 0.05;
 // Share of an engine's slots that may be in use before other engines are preferred.
 constexpr double slotFill = 0.8;
 // Fixed network round trip of a request to an engine and back.
@@ -234,6 +237,8 @@
             option.interferenceCost += prefillDelayCost(load, variant);
         if (!variant.isLongPrompt && !load.isInShortPool)
             option.interferenceCost += demand.weight * outsidePoolCost;
+        else if (!variant.isLongPrompt && !load.isInOwnCell)
+            option.interferenceCost += demand.weight * otherCellCost;
         option.cost = option.interferenceCost + latenessCost(demand, option.finishMs);
         options.push_back(option);
     }
@@ -275,6 +280,7 @@
     plan.shardPrefillMs = variant.shardPrefillMs;
     plan.startDelayMs = variant.startDelayMs;
     plan.engines.push_back(first.load->candidate->key);
+    plan.isWithinCell = first.load->isInOwnCell;
     double finishMs = first.finishMs;
     double interferenceCost =
         first.interferenceCost + primaryCost(*first.load, speed, demand, variant);
@@ -286,6 +292,7 @@
         if (option.load == first.load || !option.load->candidate->canBeHelper)
             continue;
         plan.engines.push_back(option.load->candidate->key);
+        plan.isWithinCell = plan.isWithinCell && option.load->isInOwnCell;
         finishMs = std::max(finishMs, option.finishMs);
         interferenceCost += option.interferenceCost;
     }
@@ -375,7 +382,7 @@
     loads.reserve(candidates.size());
     for (const Candidate &candidate : candidates)
         loads.push_back(loadOf(tracker, speed, candidate, demand, now));
-    markShortPool(loads, shortPoolSize(speed, forecast, static_cast<int>(loads.size())));
+    markShortPool(loads, shortPoolSize(speed, forecast, static_cast<int>(loads.size())), forecast);
     PlanVariant variant;
     variant.isLongPrompt = !isShort(speed, demand.promptTokens);
     std::optional<Plan> plan = bestPlan(loads, speed, demand, variant);
