Compress what instances fetch from each other, and wait longer for it

Cause: a configuration with 1,520 routes more takes 0.4 MB on the wire and 1 s and more at an instance that sends it to six others on a link of 20 Mbit/s. Also: the two functions named stableHash, in core/hash.h and core/digest.h, had the same signature and different results (one-definition rule); the second is now digestHash. The directory searched its list, sorted by host, for host:port, so above 64 instances sections could begin at another instance; a pure function with a test does it now.

--- a/apps/entry/config_service.cpp
+++ b/apps/entry/config_service.cpp
@@ -22,7 +22,7 @@
     , m_self(settings.id)
     , m_fleetClient(settings.platformAddress)
     , m_listClient(settings.platformAddress)
-    , m_random(stableHash(settings.id.value, static_cast<std::uint64_t>(monotonicNow().count())))
+    , m_random(digestHash(settings.id.value, static_cast<std::uint64_t>(monotonicNow().count())))
     , m_fleetWorker(loop)
     , m_listWorker(loop)
 { }
--- a/apps/entry/dispatch_service.cpp
+++ b/apps/entry/dispatch_service.cpp
@@ -50,7 +50,7 @@
     m_state.policy = settings.lanePolicy;
     m_state.ownZone = settings.zone;
     m_state.random =
-        Random(static_cast<std::uint64_t>(monotonicNow().count()) ^ stableHash(settings.id.value));
+        Random(static_cast<std::uint64_t>(monotonicNow().count()) ^ digestHash(settings.id.value));
 }
 
 void DispatchService::start()
--- a/apps/entry/once_relay.cpp
+++ b/apps/entry/once_relay.cpp
@@ -36,7 +36,7 @@
 // The hash of a call; never zero, which stands for a ticket that no call has used.
 std::uint64_t fingerprintOf(const std::string &path, const std::string &body)
 {
-    return stableHash(body, stableHash(path)) | 1U;
+    return digestHash(body, digestHash(path)) | 1U;
 }
 
 } // namespace
--- a/apps/entry/span_relay.cpp
+++ b/apps/entry/span_relay.cpp
@@ -101,7 +101,7 @@
 
 Result<void> SpanRelay::reserveAll()
 {
-    Random random(stableHash(m_request.id.value));
+    Random random(digestHash(m_request.id.value));
     for (int i = 0; i < reserveAttempts && monotonicNow() < m_request.deadline
                     && m_relay.watch().interruption() == Interruption::None;
          ++i) {
--- a/apps/load/workload.cpp
+++ b/apps/load/workload.cpp
@@ -63,7 +63,7 @@
                 + std::to_string(arrival.team) + ' ' + std::to_string(arrival.promptTokens) + ' '
                 + std::to_string(arrival.promptSeed) + '\n';
     }
-    return stableHash(text);
+    return digestHash(text);
 }
 
 } // namespace egretmount::load
--- a/apps/node/directory_service.cpp
+++ b/apps/node/directory_service.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <egretmount/membership/member_list.h>
+
 #include "fleet_service.h"
 #include "peer_service.h"
 #include "platform/documents.h"
@@ -57,16 +59,9 @@
     const instance::Settings &settings = m_fleet->settings();
     const std::string port = settings.callerAddress.substr(settings.callerAddress.find(':'));
     std::vector<std::string> addresses;
-    for (const std::string &host : m_peers->servingHosts())
+    for (const std::string &host :
+         membership::directorySection(m_peers->servingHosts(), settings.host, maxAddresses))
         addresses.push_back(host + port);
-    // Above the limit, each instance returns a section of the list that starts at itself, so that
-    // every instance is named in some response.
-    if (addresses.size() > maxAddresses) {
-        const auto own =
-            std::lower_bound(addresses.begin(), addresses.end(), settings.callerAddress);
-        std::rotate(addresses.begin(), own, addresses.end());
-        addresses.resize(maxAddresses);
-    }
     return platform::directoryBody(addresses, std::min(directoryMaxAge, settings.maxDirectoryTtl));
 }
 
--- a/apps/node/registry_snapshots.cpp
+++ b/apps/node/registry_snapshots.cpp
@@ -5,6 +5,7 @@
 #include <egretmount/membership/registry_sync.h>
 
 #include "fleet_service.h"
+#include "net/deflate.h"
 
 namespace egretmount::node {
 
@@ -13,6 +14,12 @@
 // Minimum time between two fetches. A snapshot usually arrives within tens of milliseconds.
 constexpr Milliseconds minFetchInterval = Milliseconds(50);
 
+// A large configuration reaches several instances at a time over the link of one.
+constexpr Milliseconds fetchTimeout = Milliseconds(1'500);
+
+// Smaller bodies are not worth the time to compress them.
+constexpr std::size_t minDeflatedBytes = 4UL * 1024;
+
 // Limits the large responses per window. After a restart of the whole fleet, all instances fetch
 // from the first one that has a snapshot. Sending one takes about 30 ms on the slowest link
 // (20 Mbit/s), so a few per 200 ms leave bandwidth for callers.
@@ -74,44 +81,53 @@
         return;
     m_clientHost = host;
     m_client = std::make_unique<platform::StoreClient>(
-        m_reactor, host + ':' + std::to_string(m_fleet->settings().firstPeerPort));
+        m_reactor, host + ':' + std::to_string(m_fleet->settings().firstPeerPort),
+        net::BodyEncoding::Deflate, fetchTimeout);
 }
 
 void RegistrySnapshots::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
                                   http::RequestHead head, std::string)
 {
-    int status = 200;
-    const std::string body = responseBody(head.target, status);
-    connection->respond(status, http::reasonPhrase(status), "Content-Type: application/json\r\n",
-                        body);
-}
-
-std::string RegistrySnapshots::responseBody(const std::string &target, int &status)
-{
+    const std::optional<std::variant<platform::ContentsCall, platform::ChangesCall>> call =
+        platform::readSnapshotCall(head.target);
+    if (!call) {
+        connection->respond(404, http::reasonPhrase(404), {}, {});
+        return;
+    }
     const Milliseconds now = m_reactor.now();
     if (now - m_windowStartedAt >= servingWindow) {
         m_windowStartedAt = now;
         m_servedInWindow = 0;
     }
-    const std::optional<std::variant<platform::ContentsCall, platform::ChangesCall>> call =
-        platform::readSnapshotCall(target);
-    if (!call) {
-        status = 404;
-        return {};
-    }
     if (m_own.isEmpty() || m_servedInWindow >= largeResponsesPerWindow) {
-        status = 503;
-        return {};
+        connection->respond(503, http::reasonPhrase(503), {}, {});
+        return;
     }
     const platform::ChangesCall *changes = std::get_if<platform::ChangesCall>(&*call);
-    const std::optional<std::string> body =
-        changes != nullptr ? m_own.changesBody(changes->after) : m_own.body();
-    if (!body) {
-        status = 410; // the removals after that revision are no longer known
-        return {};
+    const Response &response =
+        responseTo(changes != nullptr ? std::optional<platform::Revision>(changes->after)
+                                      : std::nullopt);
+    std::string fields = "Content-Type: application/json\r\n";
+    if (response.isDeflated)
+        fields += "Content-Encoding: deflate\r\n";
+    m_servedInWindow += response.body.size() >= largeResponseBytes ? 1 : 0;
+    connection->respond(response.status, http::reasonPhrase(response.status), fields,
+                        response.body);
+}
+
+const RegistrySnapshots::Response &
+RegistrySnapshots::responseTo(std::optional<platform::Revision> after)
+{
+    // Several instances fetch the same changes at about the same time.
+    if (m_response.revision == m_own.revision() && m_response.after == after)
+        return m_response;
+    const std::optional<std::string> body = after ? m_own.changesBody(*after) : m_own.body();
+    m_response = { m_own.revision(), after, body ? 200 : 410, false, body.value_or("") };
+    if (m_response.body.size() >= minDeflatedBytes) {
+        m_response.body = net::deflate(m_response.body);
+        m_response.isDeflated = true;
     }
-    m_servedInWindow += body->size() >= largeResponseBytes ? 1 : 0;
-    return *body;
+    return m_response;
 }
 
 } // namespace egretmount::node
--- a/apps/node/registry_snapshots.h
+++ b/apps/node/registry_snapshots.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "kernel/service.h"
 #include "net/reactor.h"
@@ -53,7 +55,19 @@
     /// @brief Sets the client to one for the given instance. It keeps the connection if the last
     ///        fetch was from the same instance.
     void useClientOf(const std::string &host);
-    std::string responseBody(const std::string &target, int &status);
+
+    /// @brief A response to a call for the contents or for the changes after a revision.
+    struct Response
+    {
+        platform::Revision revision = 0; ///< Revision of the snapshot.
+        std::optional<platform::Revision> after; ///< Empty: the contents.
+        int status = 0;
+        bool isDeflated = false;
+        std::string body;
+    };
+
+    /// @param after Revision to return the changes after; empty: the contents.
+    const Response &responseTo(std::optional<platform::Revision> after);
 
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                    std::string body) override;
@@ -67,6 +81,7 @@
     std::string m_clientHost; ///< Instance that `m_client` calls.
     Milliseconds m_lastFetchAt;
     Milliseconds m_windowStartedAt;
+    Response m_response; ///< The last one.
     int m_servedInWindow = 0; ///< Large responses since `m_windowStartedAt`.
 };
 
--- a/include/egretmount/config/chunks.h
+++ b/include/egretmount/config/chunks.h
@@ -13,7 +13,7 @@
 /// @brief A contiguous run of sections of a document's text, the unit of delta encoding.
 struct Chunk
 {
-    std::uint64_t hash = 0; ///< `stableHash` of `text`.
+    std::uint64_t hash = 0; ///< `digestHash` of `text`.
     std::string_view text; ///< Points into the document's text.
 };
 
--- a/include/egretmount/core/digest.h
+++ b/include/egretmount/core/digest.h
@@ -28,6 +28,6 @@
 
 /// @brief Computes a 64-bit hash that is the same in every process. Not cryptographically secure.
 /// @complexity Linear in the number of bytes.
-std::uint64_t stableHash(std::string_view bytes, std::uint64_t seed = 0);
+std::uint64_t digestHash(std::string_view bytes, std::uint64_t seed = 0);
 
 } // namespace egretmount
--- a/include/egretmount/membership/member_list.h
+++ b/include/egretmount/membership/member_list.h
@@ -163,6 +163,12 @@
 ///        instance, without those that are leaving.
 std::vector<std::string> servingHosts(const MemberList &list);
 
+/// @brief Returns the hosts that one response of the directory names: at most `limit`, in order from
+///        `self` on, so that each host is in as many responses as any other.
+/// @param hosts Sorted hosts.
+std::vector<std::string> directorySection(std::vector<std::string> hosts, const std::string &self,
+                                          std::size_t limit);
+
 /// @brief Returns the sorted hosts of living instances, including leaving ones and this one.
 std::vector<std::string> livingHosts(const MemberList &list);
 
--- a/include/egretmount/membership/registry_sync.h
+++ b/include/egretmount/membership/registry_sync.h
@@ -70,7 +70,7 @@
 
 /// @brief An instance that is not a watcher calls the registry if it has been behind for this long,
 ///        because its peers do not pass the change on.
-constexpr Milliseconds maxTimeBehind = Milliseconds(1'500);
+constexpr Milliseconds maxTimeBehind = Milliseconds(1'800);
 
 /// @brief An instance that is not a watcher calls the registry if no watcher is known to have
 ///        reached it for this long.
--- a/src/daemon/net/http_client.cpp
+++ b/src/daemon/net/http_client.cpp
@@ -1,5 +1,9 @@
 #include "net/http_client.h"
 
+#include <optional>
+
+#include "net/deflate.h"
+
 namespace egretmount::net {
 
 namespace {
@@ -10,9 +14,10 @@
 
 } // namespace
 
-HttpClient::HttpClient(Reactor &reactor, std::string address)
+HttpClient::HttpClient(Reactor &reactor, std::string address, BodyEncoding accepted)
     : m_reactor(reactor)
     , m_address(std::move(address))
+    , m_accepted(accepted)
 { }
 
 HttpClient::~HttpClient()
@@ -24,8 +29,10 @@
 
 void HttpClient::get(const std::string &target, Milliseconds timeout, Done done)
 {
-    startRequest("GET " + target + " HTTP/1.1\r\nHost: " + m_address + "\r\n\r\n", timeout,
-                 std::move(done));
+    const std::string accepted =
+        m_accepted == BodyEncoding::Deflate ? "Accept-Encoding: deflate\r\n" : "";
+    startRequest("GET " + target + " HTTP/1.1\r\nHost: " + m_address + "\r\n" + accepted + "\r\n",
+                 timeout, std::move(done));
 }
 
 void HttpClient::post(const std::string &target, const std::string &json, Milliseconds timeout,
@@ -95,7 +102,18 @@
     if (state == http::BodyState::Malformed || m_body.size() > maxBodyBytes)
         fail();
     else if (state == http::BodyState::Complete)
-        finish(m_head.status);
+        finish(decodeBody() ? m_head.status : 0);
+}
+
+bool HttpClient::decodeBody()
+{
+    if (m_accepted != BodyEncoding::Deflate
+        || http::fieldValue(m_head.fields, "Content-Encoding") != "deflate")
+        return true;
+    std::optional<std::string> body = inflate(m_body, maxBodyBytes);
+    if (body)
+        m_body = std::move(*body);
+    return body.has_value();
 }
 
 void HttpClient::onEnd(StreamEnd end)
--- a/src/daemon/net/http_client.h
+++ b/src/daemon/net/http_client.h
@@ -12,6 +12,12 @@
 
 namespace egretmount::net {
 
+/// @brief Which encodings of response bodies a client accepts.
+enum class BodyEncoding {
+    Identity,
+    Deflate, ///< Also compressed bodies, which it decompresses.
+};
+
 /// @brief An asynchronous HTTP client for one server, with one persistent connection and at most
 ///        one request at a time.
 class HttpClient : private StreamListener
@@ -21,7 +27,8 @@
     using Done = std::function<void(int status, std::string body)>;
 
     /// @param address `IP:port` of the server.
-    HttpClient(Reactor &reactor, std::string address);
+    HttpClient(Reactor &reactor, std::string address,
+               BodyEncoding accepted = BodyEncoding::Identity);
     ~HttpClient() override;
 
     /// @brief Starts a GET request. @pre No request is in progress.
@@ -44,9 +51,11 @@
     void startRequest(std::string request, Milliseconds timeout, Done done);
     void fail();
     void finish(int status);
+    bool decodeBody();
 
     Reactor &m_reactor;
     std::string m_address;
+    BodyEncoding m_accepted;
     std::shared_ptr<TcpStream> m_stream;
     std::string m_request;
     Done m_done;
--- a/tests/node/registry_test.cpp
+++ b/tests/node/registry_test.cpp
@@ -204,3 +204,26 @@
     usleep(5'200'000);
     CHECK(cluster.standIn.storeCalls() - before <= 3);
 }
+
+TEST_CASE("in a larger fleet eight instances call the store; the others receive large changes too")
+{
+    constexpr int instances = 12;
+    TestCluster cluster(subnet, instances);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(plainResponse);
+    usleep(1'500'000); // until each instance knows all others
+    const int before = cluster.standIn.storeCalls();
+    usleep(5'000'000);
+    // Two or three watches of each watcher end in this time.
+    CHECK(cluster.standIn.storeCalls() - before <= 8 * 3);
+    cluster.standIn.put("op/config", testConfiguration(5, "added", 1'500));
+    const Milliseconds start = monotonicNow();
+    for (int i = 0; i < instances; ++i) {
+        int status = 0;
+        while (status != 200 && monotonicNow() - start < 3'000_ms) {
+            status = cluster.nodes.sendRequest(i, plainRequest("added", "n" + std::to_string(i)))
+                         .status;
+        }
+        CHECK(status == 200);
+    }
+}
--- a/tests/parts/membership_member_list_test.cpp
+++ b/tests/parts/membership_member_list_test.cpp
@@ -411,3 +411,23 @@
     membership::evictLost(list, membership::lostMemberRetention);
     CHECK(list.members.empty());
 }
+
+TEST_CASE("with more hosts than one directory response holds, each host is named equally often")
+{
+    std::vector<std::string> hosts;
+    for (int i = 1; i <= 120; ++i)
+        hosts.push_back("10.1.0." + std::to_string(i)); // one host may be a prefix of another
+    std::sort(hosts.begin(), hosts.end());
+    std::map<std::string, int> named;
+    for (const std::string &self : hosts) {
+        const std::vector<std::string> section = membership::directorySection(hosts, self, 64);
+        REQUIRE(section.size() == 64);
+        CHECK(section.front() == self);
+        for (const std::string &host : section)
+            ++named[host];
+    }
+    for (const std::string &host : hosts)
+        CHECK(named[host] == 64);
+    CHECK(membership::directorySection({ "a", "b" }, "b", 64)
+          == std::vector<std::string> { "a", "b" });
+}
