--- a/src/config/chunks.cpp
+++ b/src/config/chunks.cpp
@@ -9,7 +9,7 @@
 
 bool startsChunk(std::string_view headerLine)
 {
-    return stableHash(headerLine) % sectionsPerChunk == 0;
+    return digestHash(headerLine) % sectionsPerChunk == 0;
 }
 
 std::string_view lineAt(std::string_view text, std::size_t begin)
@@ -19,7 +19,7 @@
 
 Chunk makeChunk(std::string_view text)
 {
-    return { stableHash(text), text };
+    return { digestHash(text), text };
 }
 
 } // namespace
@@ -63,7 +63,7 @@
     for (const Chunk &chunk : splitIntoChunks(ownText))
         known[chunk.hash] = chunk.text;
     for (const std::string &text : delta.missingChunks)
-        known[stableHash(text)] = text;
+        known[digestHash(text)] = text;
     std::string rebuilt;
     for (const std::uint64_t hash : delta.chunkHashes) {
         const auto found = known.find(hash);
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -56,7 +56,7 @@
     return { reinterpret_cast<const char *>(digest.data()), digest.size() };
 }
 
-std::uint64_t stableHash(std::string_view bytes, std::uint64_t seed)
+std::uint64_t digestHash(std::string_view bytes, std::uint64_t seed)
 {
     // FNV-1a, then one round of SplitMix64, so that similar inputs give unrelated hashes.
     std::uint64_t hash = 0xcbf29ce484222325U ^ seed;
--- a/src/credit/holders.cpp
+++ b/src/credit/holders.cpp
@@ -31,14 +31,14 @@
 ListedInstances::ListedInstances(const std::vector<InstanceId> &listed)
 {
     for (const InstanceId &id : listed)
-        m_members.push_back({ id, stableHash(id.value) });
+        m_members.push_back({ id, digestHash(id.value) });
     std::sort(m_members.begin(), m_members.end(),
               [](const Member &a, const Member &b) { return a.id < b.id; });
 }
 
 std::vector<InstanceId> ListedInstances::topRanked(const TargetId &target, std::size_t count) const
 {
-    const std::uint64_t targetHash = stableHash(target.value);
+    const std::uint64_t targetHash = digestHash(target.value);
     std::vector<RankedInstance> ranked;
     ranked.reserve(m_members.size());
     for (const Member &member : m_members)
--- a/src/membership/member_list.cpp
+++ b/src/membership/member_list.cpp
@@ -354,6 +354,16 @@
     return hosts;
 }
 
+std::vector<std::string> directorySection(std::vector<std::string> hosts, const std::string &self,
+                                          std::size_t limit)
+{
+    if (hosts.size() <= limit)
+        return hosts;
+    std::rotate(hosts.begin(), std::lower_bound(hosts.begin(), hosts.end(), self), hosts.end());
+    hosts.resize(limit);
+    return hosts;
+}
+
 std::vector<std::string> livingHosts(const MemberList &list)
 {
     std::vector<std::string> hosts { list.self.host };
--- a/src/membership/selection.cpp
+++ b/src/membership/selection.cpp
@@ -11,7 +11,7 @@
 
 std::uint64_t weightOf(const InstanceId &instance, std::string_view subject)
 {
-    return stableHash(instance.value, stableHash(subject));
+    return digestHash(instance.value, digestHash(subject));
 }
 
 } // namespace
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -61,7 +61,7 @@
     for (auto service = state.services.begin(); service != state.services.end(); ++service) {
         std::vector<std::size_t> &order = service->second.order;
         std::sort(order.begin(), order.end(), [&state](std::size_t a, std::size_t b) {
-            return stableHash(state.targets[a].id.value) < stableHash(state.targets[b].id.value);
+            return digestHash(state.targets[a].id.value) < digestHash(state.targets[b].id.value);
         });
     }
 }
