--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -93,8 +93,7 @@
     m_services.targets.probe(m_placement.target,
                              [weak, probed = m_placement.entryId](limits::TargetState state) {
                                  const std::shared_ptr<Exchange> self = weak.lock();
-                                 if (self && !self->m_isOver
-                                     && self->m_placement.entryId == probed)
+                                 if (self && !self->m_isOver && self->m_placement.entryId == probed)
                                      self->onStalledTargetProbed(state);
                              });
 }
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -373,8 +373,8 @@
 
 void PeerService::updateCell()
 {
-    placement::Cell cell = placement::cellOf(InstanceId(m_memberList.self.host), m_living,
-                                             m_fleet->engineCount());
+    placement::Cell cell =
+        placement::cellOf(InstanceId(m_memberList.self.host), m_living, m_fleet->engineCount());
     if (cell.count != m_cell.count || cell.index != m_cell.index)
         LOG(INFO) << "peers: cell index=" << cell.index << " cells=" << cell.count
                   << " members=" << cell.members.size();
--- a/apps/node/registry_snapshots.cpp
+++ b/apps/node/registry_snapshots.cpp
@@ -104,9 +104,8 @@
         return;
     }
     const platform::ChangesCall *changes = std::get_if<platform::ChangesCall>(&*call);
-    const Response &response =
-        responseTo(changes != nullptr ? std::optional<platform::Revision>(changes->after)
-                                      : std::nullopt);
+    const Response &response = responseTo(
+        changes != nullptr ? std::optional<platform::Revision>(changes->after) : std::nullopt);
     std::string fields = "Content-Type: application/json\r\n";
     if (response.isDeflated)
         fields += "Content-Encoding: deflate\r\n";
--- a/apps/node/registry_sync.cpp
+++ b/apps/node/registry_sync.cpp
@@ -85,8 +85,7 @@
 void RegistrySync::updateState()
 {
     const std::vector<InstanceId> &living = m_peers->living();
-    m_state.isWatcher =
-        membership::isRegistryWatcher(InstanceId(m_fleet->settings().host), living);
+    m_state.isWatcher = membership::isRegistryWatcher(InstanceId(m_fleet->settings().host), living);
     m_state.hasContents = m_revision != 0;
     m_state.instances = living.size();
 }
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -146,7 +146,8 @@
     return found != m_health.end() && m_reactor.now() < found->second.ejectedUntil;
 }
 
-void TargetPool::probe(const fleet::TargetEntry &target, std::function<void(limits::TargetState)> done)
+void TargetPool::probe(const fleet::TargetEntry &target,
+                       std::function<void(limits::TargetState)> done)
 {
     const placement::EngineKey key = keyOf(target.id);
     Probe &probe = m_probes[key];
--- a/include/egretmount/membership/member_list.h
+++ b/include/egretmount/membership/member_list.h
@@ -163,7 +163,8 @@
 ///        instance, without those that are leaving.
 std::vector<std::string> servingHosts(const MemberList &list);
 
-/// @brief Returns the hosts that one response of the directory names: at most `limit`, in order from
+/// @brief Returns the hosts that one response of the directory names: at most `limit`, in order
+/// from
 ///        `self` on, so that each host is in as many responses as any other.
 /// @param hosts Sorted hosts.
 std::vector<std::string> directorySection(std::vector<std::string> hosts, const std::string &self,
--- a/include/egretmount/placement/planner.h
+++ b/include/egretmount/placement/planner.h
@@ -78,9 +78,9 @@
 /// a smaller one may overtake a long prefill.
 ///
 /// The usable engines with the lowest keys form the short pool, which accepts only small shards of
-/// long prompts. All instances agree on the pool without exchanging a message. Its engines belong to
-/// the cells in turn, and short requests prefer those of their own cell. The function is pure: the
-/// same arguments give the same plan.
+/// long prompts. All instances agree on the pool without exchanging a message. Its engines belong
+/// to the cells in turn, and short requests prefer those of their own cell. The function is pure:
+/// the same arguments give the same plan.
 /// @return Nothing if no candidate has a free slot and enough memory.
 /// @complexity O(n log n) in the candidates, for each of the nine shard counts that are tried.
 std::optional<Plan> planPlacement(const LoadTracker &tracker, const fleet::EngineSpeed &speed,
--- a/src/membership/registry_sync.cpp
+++ b/src/membership/registry_sync.cpp
@@ -89,8 +89,7 @@
     if (!state.hasContents) {
         if (state.isContact)
             return true;
-        return now - state.startedAt
-                   >= snapshotTimeout + spreadOver(state, snapshotTimeoutSpread)
+        return now - state.startedAt >= snapshotTimeout + spreadOver(state, snapshotTimeoutSpread)
                && !hasCalledWithin(state, callInterval(state), now);
     }
     if (state.isWatcher)
--- a/src/placement/cell.cpp
+++ b/src/placement/cell.cpp
@@ -10,12 +10,11 @@
 
 int cellCount(std::size_t instances, std::size_t engines)
 {
-    const std::size_t most =
-        std::min(instances / minInstancesPerCell, engines / minEnginesPerCell);
-    int count = 1;
-    while (static_cast<std::size_t>(2 * count) <= most)
+    const std::size_t most = std::min(instances / minInstancesPerCell, engines / minEnginesPerCell);
+    std::size_t count = 1;
+    while (2 * count <= most)
         count *= 2;
-    return count;
+    return static_cast<int>(count);
 }
 
 Cell cellOf(const InstanceId &self, const std::vector<InstanceId> &living, std::size_t engines)
--- a/tests/node/registry_test.cpp
+++ b/tests/node/registry_test.cpp
@@ -221,8 +221,8 @@
     for (int i = 0; i < instances; ++i) {
         int status = 0;
         while (status != 200 && monotonicNow() - start < 3'000_ms) {
-            status = cluster.nodes.sendRequest(i, plainRequest("added", "n" + std::to_string(i)))
-                         .status;
+            status =
+                cluster.nodes.sendRequest(i, plainRequest("added", "n" + std::to_string(i))).status;
         }
         CHECK(status == 200);
     }
--- a/tests/node/support/nodes.cpp
+++ b/tests/node/support/nodes.cpp
@@ -213,7 +213,8 @@
            + route("pay", "non_idempotent", "app", "\"attempts\":1")
            + (extraRoute.empty() ? ""
                                  : "," + route(extraRoute, "idempotent", "app", "\"attempts\":2"))
-           + fillers + "],\"services\":[{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConns\":300,"
+           + fillers
+           + "],\"services\":[{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConns\":300,"
              "\"coldS\":3.0,\"coldPerS\":26.0,\"engine\":{\"slots\":16,\"kvCapacityTokens\":405000,"
              "\"stride\":34,\"step_ms\":1.31,\"per_seq_ms\":0.000917,\"context_per_k\":0.00213,"
              "\"read_per_s\":154000.0,\"pairs_per_m\":0.162,\"chunk\":2048,\"report_lag_ms\":200.0,"
--- a/tests/parts/limits_test.cpp
+++ b/tests/parts/limits_test.cpp
@@ -188,8 +188,8 @@
     CHECK(limits::shouldLeaveStalledTarget(limits::TargetState::Unresponsive, 0));
     CHECK(limits::shouldLeaveStalledTarget(limits::TargetState::Idle, 0));
     CHECK_FALSE(limits::shouldLeaveStalledTarget(limits::TargetState::Busy, 0));
-    CHECK_FALSE(limits::shouldLeaveStalledTarget(limits::TargetState::Busy,
-                                                 limits::maxBusyReports - 1));
+    CHECK_FALSE(
+        limits::shouldLeaveStalledTarget(limits::TargetState::Busy, limits::maxBusyReports - 1));
     // A busy target may have lost this request all the same.
     CHECK(limits::shouldLeaveStalledTarget(limits::TargetState::Busy, limits::maxBusyReports));
 }
--- a/tests/parts/membership_registry_sync_test.cpp
+++ b/tests/parts/membership_registry_sync_test.cpp
@@ -15,6 +15,7 @@
 std::vector<InstanceId> fleetOf(int count)
 {
     std::vector<InstanceId> instances;
+    instances.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         instances.emplace_back("10." + std::to_string(1 + i % 5) + ".0." + std::to_string(i / 5));
     std::sort(instances.begin(), instances.end());
--- a/tests/parts/placement_cell_test.cpp
+++ b/tests/parts/placement_cell_test.cpp
@@ -20,6 +20,7 @@
 std::vector<InstanceId> fleetOf(std::size_t count)
 {
     std::vector<InstanceId> instances;
+    instances.reserve(count);
     for (std::size_t i = 0; i < count; ++i)
         instances.emplace_back("10." + std::to_string(1 + i % 5) + ".0." + std::to_string(i / 5));
     std::sort(instances.begin(), instances.end());
@@ -52,10 +53,9 @@
     for (int round = 0; round < requestsPerCell; ++round) {
         for (int cell = 0; cell < cells; ++cell) {
             placement::LoadTracker &tracker = trackers[static_cast<std::size_t>(cell)];
-            const placement::DemandForecast forecast {
-                static_cast<double>(cells * requestsPerCell), cells, cell
-            };
-            const Milliseconds now(round * 50);
+            const placement::DemandForecast forecast { static_cast<double>(cells * requestsPerCell),
+                                                       cells, cell };
+            const Milliseconds now = Milliseconds(50) * round;
             const std::optional<placement::Plan> plan = placement::planPlacement(
                 tracker, simulation::typicalSpeed(), candidates, shortDemand(), forecast, now);
             REQUIRE(plan);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -146,7 +146,8 @@
 TEST_CASE("a registry snapshot returns the latest change of each key after a revision")
 {
     platform::RegistrySnapshot snapshot;
-    snapshot.applyListing({ { "servers/i-1", "QQ==", false }, { "servers/i-2", "Qg==", false } }, 5);
+    snapshot.applyListing({ { "servers/i-1", "QQ==", false }, { "servers/i-2", "Qg==", false } },
+                          5);
     snapshot.applyChanges({ { "servers/i-2", "", true } }, 7);
     snapshot.applyChanges({ { "op/config", "MQ==", false } }, 8);
     snapshot.applyChanges({ { "op/config", "Mg==", false }, { "servers/i-1", "QUE=", false } }, 10);
@@ -161,10 +162,12 @@
     CHECK(page->items[0].key == "servers/i-2");
     CHECK(page->items[1].encodedValue == "Mg==");
     CHECK(page->items[2].key == "servers/i-1");
-    const std::optional<platform::RegistryPage> later = platform::readPage(*snapshot.changesBody(8));
+    const std::optional<platform::RegistryPage> later =
+        platform::readPage(*snapshot.changesBody(8));
     REQUIRE(later);
     CHECK(later->items.size() == 2);
-    const std::optional<platform::RegistryPage> none = platform::readPage(*snapshot.changesBody(10));
+    const std::optional<platform::RegistryPage> none =
+        platform::readPage(*snapshot.changesBody(10));
     REQUIRE(none);
     CHECK(none->items.empty());
 }
