--- a/apps/node/registry_sync.cpp
+++ b/apps/node/registry_sync.cpp
@@ -8,6 +8,7 @@
 #include <egretmount/core/hash.h>
 
 #include "fleet_service.h"
+#include "metrics_service.h"
 #include "peer_service.h"
 #include "registry_snapshots.h"
 
@@ -57,6 +58,10 @@
     m_state.randomBits = stableHash(settings.host);
     m_state.isContact =
         std::count(settings.contacts.begin(), settings.contacts.end(), settings.host) > 0;
+    MetricsService &metrics = m_registry.find<MetricsService>();
+    metrics.addGauge("registry_calls", [this] { return static_cast<double>(m_calls); });
+    metrics.addGauge("registry_peer_fetches",
+                     [this] { return static_cast<double>(m_peerFetches); });
     m_reactor.every(callCheckInterval, [this] { callIfDue(); });
     callIfDue();
 }
@@ -69,12 +74,13 @@
 
 void RegistrySync::callIfDue()
 {
-    if (m_isCalling || m_reactor.now() < m_callAt)
+    if (m_isCalling || m_reactor.now() < m_noCallBefore)
         return;
     updateState();
     if (!membership::shouldCallRegistry(m_state, m_reactor.now()))
         return;
     m_isCalling = true;
+    ++m_calls;
     m_state.calledAt = m_reactor.now();
     if (m_needsListing)
         list();
@@ -92,7 +98,7 @@
 
 void RegistrySync::callAfter(Milliseconds delay)
 {
-    m_callAt = m_reactor.now() + delay;
+    m_noCallBefore = m_reactor.now() + delay;
     m_reactor.after(delay, [this] { callIfDue(); });
 }
 
@@ -134,6 +140,9 @@
 
 void RegistrySync::fetchChanges(const std::string &host)
 {
+    if (m_snapshots->isFetching())
+        return;
+    ++m_peerFetches;
     m_snapshots->fetchChanges(
         host, m_revision,
         [this, host](tl::expected<platform::RegistryPage, platform::StoreFailure> page) {
@@ -209,6 +218,7 @@
     for (platform::RegistryItem &item : page->items)
         m_pendingListing.items.push_back(std::move(item));
     if (page->hasMore && !page->lastKey.empty()) {
+        ++m_calls;
         m_client.list(page->lastKey,
                       [this](tl::expected<platform::RegistryPage, platform::StoreFailure> next) {
                           onListingPage(std::move(next));
--- a/apps/node/registry_sync.h
+++ b/apps/node/registry_sync.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <vector>
+#include <cstdint>
+#include <string>
 
 #include <egretmount/membership/registry_sync.h>
 
@@ -78,8 +79,10 @@
     platform::Revision m_revision = 0;
     membership::RegistrySyncState m_state;
     Milliseconds m_lastResponseAt;
-    Milliseconds m_callAt; ///< A call is scheduled for this time.
+    Milliseconds m_noCallBefore; ///< End of the delay after changes or a failure.
     int m_failures = 0; ///< Consecutive failed calls.
+    std::uint64_t m_calls = 0; ///< Calls to the store, for the metrics.
+    std::uint64_t m_peerFetches = 0; ///< Calls for the changes of another instance.
     bool m_isCalling = false;
     bool m_isWatching = false; ///< The call in progress is a watch.
     bool m_needsListing = true;
