Log the shared parts of prompts, and whether a lost target has crashed

A line of a send now names the shared parts of its prompt (parts=). When a target ends a connection while it had written nothing or next to nothing on a prompt, one call finds out whether its process is gone or runs on; the line says so with the parts of all requests that broke there. No decision depends on it yet.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -11,6 +11,8 @@
 #include "fleet_service.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
+#include "prompt_guard.h"
+#include "prompt_text.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -241,6 +243,7 @@
 {
     m_placement = placement;
     m_isDecoding = false;
+    m_decodedEvents = 0;
     m_busyReports = 0;
     platform::ForwardFields fields;
     fields.target = placement.target.id;
@@ -257,7 +260,8 @@
               << " part_ms=" << placement.shardPrefillMs << " tokens=" << m_caller.promptTokens
               << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
               << " expected_ms=" << placement.expectedMs << " left_ms=" << fields.timeLeft.count()
-              << " sends=" << m_history.sends << " config=" << m_configuration->version;
+              << " sends=" << m_history.sends << " config=" << m_configuration->version
+              << " parts=" << joinParts(m_caller.sharedParts);
     const bool needsNewConnection =
         m_route->retrySemantics == fleet::RetrySemantics::AtMostOnce
         || (m_route->retrySemantics == fleet::RetrySemantics::Stream && !m_route->isResumable);
@@ -311,6 +315,9 @@
     } else {
         m_services.targets.recordFailure(keyOf(m_placement.target.id),
                                          failure == SendFailure::NotSent);
+        if (failure == SendFailure::Broken && m_send.hasEnded() && !isPromptProven())
+            m_services.prompts.onConnectionLost(m_placement.target, m_send.startedAt(),
+                                                m_caller.sharedParts);
     }
     m_failedTargets.insert(m_placement.target.id);
     handleFailure(failure);
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -17,6 +17,7 @@
 
 class IngressService;
 class MetricsService;
+class PromptGuard;
 class TargetPool;
 class FleetService;
 
@@ -29,6 +30,7 @@
     TargetPool &targets;
     IngressService &ingress;
     MetricsService &metrics;
+    PromptGuard &prompts;
 };
 
 /// @brief Handles one caller's request, from the complete request to the final response.
@@ -116,6 +118,10 @@
     /// @brief Cancels the timers of the current send and releases its queue entry, its memory
     ///        reservations and its load tracker entry.
     void endSend(bool isCompleted = false);
+    /// @brief Returns whether the target of the current send has written on the prompt for so long
+    ///        that the prompt does not crash it.
+    bool isPromptProven() const;
+
     /// @brief Passes the complete events on. Returns false if they do not continue the stream.
     bool forwardEvents(const std::string &bytes);
 
@@ -178,6 +184,8 @@
     bool m_isAdmitted = false; ///< The request was placed at least once.
     bool m_awaitsConfiguration = false;
     bool m_isDecoding = false;
+    Milliseconds m_decodingSince; ///< First event of the current send.
+    int m_decodedEvents = 0; ///< Deliveries with events in the current send.
     bool m_isOver = false;
 };
 
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t maxBuffered = 256UL * 1024;
 // The response is aborted if the caller reads so slowly that more than this is unsent.
 constexpr std::size_t maxUnsent = 2UL * 1024 * 1024;
+// An engine that a prompt crashes writes few events on it, if any.
+constexpr int minProvenEvents = 4;
+constexpr Milliseconds minProvenTime = Milliseconds(600);
 
 } // namespace
 
@@ -69,8 +72,10 @@
     if (m_history.isResponseStarted)
         m_longestEventGap = std::max(m_longestEventGap, now - m_lastForwardedAt);
     m_lastForwardedAt = m_lastEventAt = now;
+    ++m_decodedEvents;
     if (!m_isDecoding) {
         m_isDecoding = true;
+        m_decodingSince = now;
         m_services.placement.markDecoding(m_placement.entryId, m_placement.expectedMs,
                                           static_cast<double>((now - m_sentAt).count()),
                                           m_reportedInFlight);
@@ -88,6 +93,12 @@
     return !m_scanner.isOutOfOrder;
 }
 
+bool Exchange::isPromptProven() const
+{
+    return m_isDecoding && m_decodedEvents >= minProvenEvents
+           && m_services.reactor.now() - m_decodingSince >= minProvenTime;
+}
+
 std::string Exchange::responseFields(const http::ResponseHead &head) const
 {
     std::string fields;
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -8,6 +8,7 @@
 #include "metrics_service.h"
 #include "peer_service.h"
 #include "placement_service.h"
+#include "prompt_guard.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -38,6 +39,7 @@
     m_placement = &m_registry.find<PlacementService>();
     m_targets = &m_registry.find<TargetPool>();
     m_metrics = &m_registry.find<MetricsService>();
+    m_prompts = &m_registry.find<PromptGuard>();
     addGauges();
     m_fleet->onConfigured([this] { resumeAfterConfiguration(); });
     m_placement->onLongPrefill(
@@ -125,7 +127,8 @@
         return;
     }
     const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
-        ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets, *this, *m_metrics },
+        ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets, *this, *m_metrics,
+                           *m_prompts },
         connection, std::move(head), std::move(body));
     m_exchanges.emplace(exchange.get(), exchange);
     const double randomValue = std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -74,6 +74,12 @@
     /// @brief Returns how the body of the current response is delimited; `None` before its head.
     http::Framing framing() const { return m_reader.framing.framing; }
 
+    /// @brief Returns whether the target ended the connection.
+    bool hasEnded() const { return m_end.has_value(); }
+
+    /// @brief Returns the start stamp of the target when the request was sent.
+    std::int64_t startedAt() const { return m_startedAt; }
+
     /// @brief Returns how the target ended the connection, or "open" if it did not.
     std::string_view connectionEnd() const { return m_end ? nameOf(*m_end) : "open"; }
 
--- a/include/egretmount/core/ids.h
+++ b/include/egretmount/core/ids.h
@@ -42,6 +42,9 @@
 
 using TokenCount = std::int64_t;
 
+/// @brief Id of a part of a prompt. Requests whose prompts share a part state the same id.
+using PromptPartId = std::uint64_t;
+
 /// @brief One run of an instance: the time from a start of its process to the end.
 struct InstanceRun
 {
--- a/include/egretmount/limits/response_end.h
+++ b/include/egretmount/limits/response_end.h
@@ -13,6 +13,10 @@
     std::int64_t startedAt = 0; ///< Its start stamp; zero: it reports none.
 };
 
+/// @brief Returns whether a target that ended a connection within a response has crashed.
+/// @param startedAt Start stamp of the target when the request was sent; zero if it has none.
+bool hasRestartedOrEnded(const EndReport &report, std::int64_t startedAt);
+
 /// @brief Returns whether a response that ended with its connection is whole.
 ///
 /// The kernel closes the connections of a killed process in the same way as the process itself does
--- a/src/limits/response_end.cpp
+++ b/src/limits/response_end.cpp
@@ -9,6 +9,13 @@
     return report.hasResponded && isSameProcess;
 }
 
+bool hasRestartedOrEnded(const EndReport &report, std::int64_t startedAt)
+{
+    const bool hasRestarted = report.hasResponded && startedAt != 0 && report.startedAt != 0
+                              && report.startedAt != startedAt;
+    return !report.isListening || hasRestarted;
+}
+
 bool isEndUncertain(const EndReport &report, int checks)
 {
     return report.isListening && !report.hasResponded && checks < maxEndChecks;
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -33,6 +33,7 @@
     CHECK(fields.promptTokens == 1'460);
     CHECK(fields.maxOutputTokens == 80);
     CHECK(fields.lastEventId == "12");
+    CHECK(fields.sharedParts.empty());
     const platform::CallerFields odd =
         platform::readCallerFields(requestWith({ { "Request-Deadline", "soon" },
                                                  { "Authorization", "Basic x" },
@@ -43,6 +44,24 @@
     CHECK(odd.maxOutputTokens == 0);
 }
 
+TEST_CASE("the shared parts of a prompt are all but the last")
+{
+    const auto partsOf = [](const std::string &list) {
+        return platform::readCallerFields(requestWith({ { "Prompt-Prefix", list } })).sharedParts;
+    };
+    using Parts = std::vector<PromptPartId>;
+    CHECK(partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == Parts { 0x5c1e07a2, 0x91bd3f06 });
+    CHECK(partsOf("5C1E07A2:800, 5c1e07a2:1,f:1") == Parts { 0x5c1e07a2 });
+    CHECK(partsOf("5c1e07a2:800").empty());
+    CHECK(partsOf("").empty());
+    CHECK(partsOf(",:,,").empty());
+    CHECK(partsOf("no number:1,1:1").size() == 1);
+    std::string many;
+    for (int i = 0; i < 1'000; ++i)
+        many += std::to_string(i) + ":1,";
+    CHECK(partsOf(many).size() == 64);
+}
+
 TEST_CASE("a response is declined only if its status is 421 or it has a Not-Executed field")
 {
     http::ResponseHead head;
