--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -126,10 +126,10 @@
         LOG(INFO) << "ingress: refused status=503 reason=\"stopping\"";
         return;
     }
-    const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
-        ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets, *this, *m_metrics,
-                           *m_prompts },
-        connection, std::move(head), std::move(body));
+    const std::shared_ptr<Exchange> exchange =
+        std::make_shared<Exchange>(ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets,
+                                                      *this, *m_metrics, *m_prompts },
+                                   connection, std::move(head), std::move(body));
     m_exchanges.emplace(exchange.get(), exchange);
     const double randomValue = std::uniform_real_distribution<double>(0, 1)(m_random);
     exchange->start(randomValue);
--- a/apps/node/prompt_guard.cpp
+++ b/apps/node/prompt_guard.cpp
@@ -63,9 +63,10 @@
         !report.isListening && m_reactor.now() - check.askedAt >= crashCheckTimeout;
     const bool hasCrashed = !isCutOff && limits::hasRestartedOrEnded(report, check.startedAt);
     LOG(INFO) << "prompts: connection lost target=" << check.target.id.value
-              << " crashed=" << hasCrashed << " cut_off=" << isCutOff << " listening=" << report.isListening
-              << " responded=" << report.hasResponded << " started_at=" << report.startedAt
-              << " expected=" << check.startedAt << " parts=" << joinParts(check.parts);
+              << " crashed=" << hasCrashed << " cut_off=" << isCutOff
+              << " listening=" << report.isListening << " responded=" << report.hasResponded
+              << " started_at=" << report.startedAt << " expected=" << check.startedAt
+              << " parts=" << joinParts(check.parts);
 }
 
 } // namespace egretmount::node
--- /dev/null
+++ b/tests/node/prompt_crash_test.cpp
@@ -0,0 +1,210 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "support/test_cluster.h"
+
+using namespace egretmount;
+using namespace egretmount::literals;
+using namespace egretmount::tests;
+
+namespace {
+
+constexpr int subnet = 22;
+constexpr int engines = 10;
+
+// Time within which all instances know what one of them has learnt.
+constexpr Milliseconds contactTime = 3'000_ms;
+// Time after which a crashed engine is back.
+constexpr Milliseconds restartTime = 600_ms;
+
+void sleepFor(Milliseconds time)
+{
+    usleep(static_cast<useconds_t>(time.count()) * 1'000);
+}
+
+const std::string badPart = "bad0001";
+
+CallerRequest promptRequest(const std::string &id, const std::string &middlePart,
+                            int promptTokens = 1'000)
+{
+    CallerRequest request;
+    request.id = id;
+    request.tokens = std::to_string(promptTokens) + ",100";
+    request.extraFields = "Prompt-Prefix: f1257:40," + middlePart + ":700,"
+                          + std::to_string(std::hash<std::string>()(id)) + ":260\r\n";
+    return request;
+}
+
+bool holdsBadPart(const Arrival &arrival)
+{
+    const std::optional<std::string_view> parts =
+        http::fieldValue(arrival.head.fields, "Prompt-Prefix");
+    return parts && parts->find(badPart) != std::string_view::npos;
+}
+
+// An engine that ends with all its connections as soon as it writes on the bad part.
+Script crashingScript(const Arrival &arrival)
+{
+    Script script;
+    script.events = 4;
+    if (holdsBadPart(arrival)) {
+        script.firstEventDelay = 60_ms;
+        script.resetAfterEvents = 0;
+        script.isKilled = true;
+    }
+    return script;
+}
+
+// Starts crashed engines again.
+class Restarts
+{
+public:
+    explicit Restarts(StandIn &standIn)
+        : m_standIn(standIn)
+    { }
+
+    void update()
+    {
+        const std::vector<Arrival> arrivals = m_standIn.arrivals();
+        for (; m_seen < arrivals.size(); ++m_seen) {
+            if (holdsBadPart(arrivals[m_seen]))
+                m_crashes[std::stoi(arrivals[m_seen].target.substr(2))] = arrivals[m_seen].at;
+        }
+        for (auto position = m_crashes.begin(); position != m_crashes.end();) {
+            if (monotonicNow() - position->second < restartTime) {
+                ++position;
+                continue;
+            }
+            m_standIn.restartTarget(position->first);
+            position = m_crashes.erase(position);
+        }
+    }
+
+private:
+    StandIn &m_standIn;
+    std::size_t m_seen = 0;
+    std::map<int, Milliseconds> m_crashes;
+};
+
+std::vector<Milliseconds> badArrivals(const StandIn &standIn)
+{
+    std::vector<Milliseconds> times;
+    for (const Arrival &arrival : standIn.arrivals()) {
+        if (holdsBadPart(arrival))
+            times.push_back(arrival.at);
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+// Number of requests with the bad part that reach engines later than `contactTime` after the fifth
+// crash.
+std::size_t lateBadArrivals(const StandIn &standIn)
+{
+    const std::vector<Milliseconds> times = badArrivals(standIn);
+    if (times.size() < 5)
+        return 0;
+    return static_cast<std::size_t>(std::count_if(
+        times.begin(), times.end(), [&](Milliseconds at) { return at > times[4] + contactTime; }));
+}
+
+struct Outcome
+{
+    int sound = 0;
+    int soundServed = 0;
+    int refused = 0; ///< Requests with the bad part that were answered as not executed.
+    int refusedButSent = 0;
+    Milliseconds slowestRefusal;
+};
+
+// Sends requests with the bad part, no two alike, and sound ones that share their caller and their
+// first part, through all instances in turn.
+Outcome sendRequests(TestCluster &cluster, int instances, Milliseconds duration,
+                     const std::string &prefix, Milliseconds soundFrom = Milliseconds())
+{
+    Outcome outcome;
+    Restarts restarts(cluster.standIn);
+    const Milliseconds start = monotonicNow();
+    for (int i = 0; monotonicNow() - start < duration; ++i) {
+        restarts.update();
+        const std::string number = std::to_string(i);
+        const Response bad =
+            cluster.nodes.sendRequest(i % instances, promptRequest(prefix + "b" + number, badPart));
+        if (bad.status == 503) {
+            ++outcome.refused;
+            outcome.slowestRefusal = std::max(outcome.slowestRefusal, bad.elapsed);
+            outcome.refusedButSent +=
+                cluster.standIn.arrivalsOf(prefix + "b" + number).empty() ? 0 : 1;
+        }
+        const Response sound = cluster.nodes.sendRequest(
+            (i + 1) % instances, promptRequest(prefix + "s" + number, "50000" + number));
+        if (monotonicNow() - start >= soundFrom) {
+            ++outcome.sound;
+            outcome.soundServed += sound.status == 200 && sound.isComplete ? 1 : 0;
+        }
+        sleepFor(40_ms);
+    }
+    return outcome;
+}
+
+} // namespace
+
+// Guards against requests with one part in their prompts that crash one engine after the other.
+TEST_CASE("prompts with a part that has crashed engines reach no more engines")
+{
+    const int instances = 3;
+    TestCluster cluster(subnet, instances, engines, 1);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(crashingScript);
+    const Outcome outcome = sendRequests(cluster, instances, 7'000_ms, "a", 4'000_ms);
+    CAPTURE(badArrivals(cluster.standIn).size());
+    CHECK(badArrivals(cluster.standIn).size() >= 2); // there was something to learn from
+    CHECK(lateBadArrivals(cluster.standIn) <= 3);
+    CHECK(outcome.refused > 10);
+    CHECK(outcome.refusedButSent == 0);
+    CHECK(outcome.slowestRefusal < 200_ms);
+    REQUIRE(outcome.sound >= 20);
+    CHECK(outcome.soundServed == outcome.sound);
+}
+
+// Guards against an instance that has just started and crashes engines with prompts that the others
+// refuse.
+TEST_CASE("a restarted instance learns from the others which prompts crash engines")
+{
+    const int instances = 3;
+    TestCluster cluster(subnet, instances, engines, 1);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(crashingScript);
+    sendRequests(cluster, instances, 2'500_ms, "a");
+    cluster.nodes.process(0).kill();
+    cluster.nodes.start(0);
+    REQUIRE(cluster.nodes.waitReady(instances));
+    sleepFor(contactTime);
+    const std::size_t before = badArrivals(cluster.standIn).size();
+    for (int i = 0; i < 6; ++i) {
+        const Response bad =
+            cluster.nodes.sendRequest(0, promptRequest("n" + std::to_string(i), badPart));
+        CHECK(bad.status == 503);
+        CHECK(cluster.nodes.sendRequest(0, promptRequest("o" + std::to_string(i), "600")).status
+              == 200);
+    }
+    CHECK(badArrivals(cluster.standIn).size() == before);
+}
+
+// Guards against a repeat that crashes a second engine with a prompt that has just crashed others.
+TEST_CASE("a prompt is not repeated whose part has crashed another engine before")
+{
+    TestCluster cluster(subnet, 1, engines, 1);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(crashingScript);
+    cluster.nodes.sendRequest(0, promptRequest("first", badPart));
+    CHECK(cluster.standIn.arrivalsOf("first").size() <= 2);
+    const Response second = cluster.nodes.sendRequest(0, promptRequest("second", badPart));
+    CHECK(second.status == 502); // it may have run
+    CHECK(cluster.standIn.arrivalsOf("second").size() == 1);
+}
--- a/tests/node/support/standin.cpp
+++ b/tests/node/support/standin.cpp
@@ -632,8 +632,12 @@
         return;
     found->second->killProcess();
     m_targets.erase(found);
-    if (!restartsAtOnce)
-        return;
+    if (restartsAtOnce)
+        startProcess(number);
+}
+
+void StandIn::startProcess(int number)
+{
     ++m_restarts[number];
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -651,7 +655,10 @@
 
 void StandIn::restartTarget(int number)
 {
-    call([&] { killProcess(number, true); });
+    call([&] {
+        killProcess(number, false);
+        startProcess(number);
+    });
     writeEntry(number, "ready");
 }
 
--- a/tests/node/support/standin.h
+++ b/tests/node/support/standin.h
@@ -113,8 +113,9 @@
     ///        stand-in's thread.
     void killProcess(int number, bool restartsAtOnce);
 
-    /// @brief Starts another process of a target at its address, with its id. Its registry entry
-    ///        is written with the new start stamp.
+    /// @brief Starts another process of a target at its address, with its id, after it has ended
+    /// the
+    ///        one that runs, if any. The registry entry is written with the new start stamp.
     void restartTarget(int number);
 
     /// @brief Makes a target state in all its responses that it is leaving, until it restarts.
@@ -192,6 +193,9 @@
 
     void call(const std::function<void()> &task);
 
+    /// @brief Starts the next process of a target whose port is closed.
+    void startProcess(int number);
+
     /// @brief Returns the time at which a target's process started, in Unix milliseconds.
     std::int64_t startStamp(int number) const;
     void runTasks();
