--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -92,6 +92,7 @@
         timeout = std::min(timeout, *m_caller.deadline);
     m_deadline = m_arrivedAt + timeout;
     m_services.ingress.recordRequest(m_service->id);
+    m_services.prompts.recordPrompt(m_route->name, m_caller.sharedParts);
     const std::weak_ptr<Exchange> weak = weak_from_this();
     m_deadlineTimer = m_services.reactor.after(timeLeft(), [weak] {
         if (const std::shared_ptr<Exchange> self = weak.lock())
@@ -131,6 +132,9 @@
 
 Decision Exchange::place()
 {
+    if (const std::optional<Milliseconds> blocked =
+            m_services.prompts.blockedFor(m_caller.sharedParts))
+        return Refusal { RefusalReason::PromptBlocked, *blocked };
     if (!m_service->engine || m_caller.promptTokens == 0)
         return m_services.placement.placePlain(*m_service, m_failedTargets);
     placement::Demand demand;
@@ -275,15 +279,16 @@
 bool Exchange::isPlacementUsable() const
 {
     const TargetPool &targets = m_services.targets;
-    return targets.mayReceive(m_placement.target.id)
+    return !m_services.prompts.blockedFor(m_caller.sharedParts)
+           && targets.mayReceive(m_placement.target.id)
            && std::all_of(m_placement.helpers.begin(), m_placement.helpers.end(),
                           [&](const TargetId &helper) { return targets.mayReceive(helper); });
 }
 
 void Exchange::placeAnew()
 {
-    LOG(INFO) << "placement: engine accepts no work any more, placed anew id=" << m_caller.requestId
-              << " target=" << m_placement.target.id.value
+    LOG(INFO) << "placement: request may not be sent any more, placed anew id="
+              << m_caller.requestId << " target=" << m_placement.target.id.value
               << " helpers=" << joinIds(m_placement.helpers);
     endSend();
     send();
@@ -329,7 +334,9 @@
     const bool mayRetry = step == NextStep::Retry || step == NextStep::ResumeElsewhere;
     // The retry budget counts a send only if an earlier one reached a target.
     const bool isRetry = m_history.sends > 0;
-    const bool isAllowed = mayRetry && timeLeft() > Milliseconds()
+    // The next engine would crash as well.
+    const bool isUnsafe = !isPromptProven() && m_services.prompts.isSuspected(m_caller.sharedParts);
+    const bool isAllowed = mayRetry && !isUnsafe && timeLeft() > Milliseconds()
                            && (!isRetry || m_services.ingress.tryAcquireRetry(m_service->id));
     m_services.metrics.countSendFailure(m_placement.target.id, failure);
     LOG(INFO) << "exchange: send failed id=" << m_caller.requestId
@@ -337,7 +344,7 @@
               << " reused=" << m_send.isReused() << " sends=" << m_history.sends
               << " events=" << m_scanner.count << " framing=" << nameOf(m_send.framing())
               << " connection=" << m_send.connectionEnd() << " step=" << nameOf(step)
-              << " allowed=" << isAllowed;
+              << " suspected=" << isUnsafe << " allowed=" << isAllowed;
     m_failedTargets.insert(m_placement.target.id);
     if (isAllowed)
         send();
@@ -395,6 +402,17 @@
         respondWithError(statusIfUnknown, reason);
 }
 
+void Exchange::onPromptBlocked()
+{
+    if (m_isOver || m_route == nullptr || m_awaitsConfiguration || m_history.isResponseStarted)
+        return;
+    const std::optional<Milliseconds> blocked = m_services.prompts.blockedFor(m_caller.sharedParts);
+    if (!blocked)
+        return;
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    failRequest(nameOf(RefusalReason::PromptBlocked), *blocked, 502);
+}
+
 void Exchange::stop()
 {
     if (m_isOver)
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -60,6 +60,10 @@
     ///        long that the caller would disconnect before the next event.
     void migrate();
 
+    /// @brief Ends the exchange if a part of its prompt is blocked and the caller has received
+    ///        nothing yet. A target that still reads the prompt is spared by that.
+    void onPromptBlocked();
+
     /// @brief Ends the exchange because this instance shuts down.
     void stop();
 
@@ -82,11 +86,12 @@
     void reserveAndSend(const Placement &placement);
     void sendTo(const Placement &placement);
 
-    /// @brief Returns whether the target and the helper engines of the placement still accept work.
+    /// @brief Returns whether the prompt may still be sent, and the target and the helper engines
+    /// of
+    ///        the placement still accept work.
     bool isPlacementUsable() const;
 
-    /// @brief Asks for another placement, as one of the engines has meanwhile announced that it
-    ///        accepts no work.
+    /// @brief Asks for another placement, as the present one has meanwhile become unusable.
     void placeAnew();
     Decision place();
     void waitInQueue(const Queued &queued);
@@ -121,6 +126,7 @@
     /// @brief Returns whether the target of the current send has written on the prompt for so long
     ///        that the prompt does not crash it.
     bool isPromptProven() const;
+    void recordProof();
 
     /// @brief Passes the complete events on. Returns false if they do not continue the stream.
     bool forwardEvents(const std::string &bytes);
@@ -186,6 +192,7 @@
     bool m_isDecoding = false;
     Milliseconds m_decodingSince; ///< First event of the current send.
     int m_decodedEvents = 0; ///< Deliveries with events in the current send.
+    bool m_isProofRecorded = false; ///< The prompt has been recorded as one that crashes no engine.
     bool m_isOver = false;
 };
 
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -7,6 +7,7 @@
 #include "fleet_service.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
+#include "prompt_guard.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -86,6 +87,8 @@
         m_connection->beginResponse(m_responseHead.status, m_responseHead.reason,
                                     responseFields(m_responseHead));
     }
+    if (!m_isProofRecorded && isPromptProven())
+        recordProof();
     m_history.canResume = http::canResume(m_scanner);
     m_connection->sendChunk(events);
     if (m_connection->unsent() > maxUnsent)
@@ -99,6 +102,12 @@
            && m_services.reactor.now() - m_decodingSince >= minProvenTime;
 }
 
+void Exchange::recordProof()
+{
+    m_isProofRecorded = true;
+    m_services.prompts.recordSound(m_caller.sharedParts);
+}
+
 std::string Exchange::responseFields(const http::ResponseHead &head) const
 {
     std::string fields;
@@ -136,6 +145,8 @@
     } else {
         m_services.targets.recordSuccess(key);
     }
+    if (m_isEventStream && m_decodedEvents > 0 && !m_isProofRecorded)
+        recordProof();
     if (m_history.isResponseStarted) {
         m_connection->endResponse();
     } else if (m_isEventStream) {
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -44,6 +44,7 @@
     m_fleet->onConfigured([this] { resumeAfterConfiguration(); });
     m_placement->onLongPrefill(
         [this](const std::vector<placement::EngineKey> &engines) { migrateFrom(engines); });
+    m_prompts->onBlocked([this] { endBlocked(); });
     m_listener = net::Listener::open(
         m_reactor, m_fleet->settings().callerAddress,
         [this](const Poco::Net::StreamSocket &socket) {
@@ -81,15 +82,26 @@
     }
 }
 
-void IngressService::endAll()
+std::vector<std::shared_ptr<Exchange>> IngressService::allExchanges() const
 {
     std::vector<std::shared_ptr<Exchange>> exchanges;
     for (const auto &[key, exchange] : m_exchanges)
         exchanges.push_back(exchange);
-    for (const std::shared_ptr<Exchange> &exchange : exchanges)
+    return exchanges;
+}
+
+void IngressService::endAll()
+{
+    for (const std::shared_ptr<Exchange> &exchange : allExchanges())
         exchange->stop();
 }
 
+void IngressService::endBlocked()
+{
+    for (const std::shared_ptr<Exchange> &exchange : allExchanges())
+        exchange->onPromptBlocked();
+}
+
 void IngressService::recordRequest(const ServiceId &service)
 {
     limits::recordRequest(m_budgets[service.value], m_fleet->settings().retryBound,
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -70,6 +70,12 @@
     bool isStopping() const override { return m_isStopping; }
 
     void addGauges();
+
+    /// @brief Returns the exchanges, which may end while the caller goes through them.
+    std::vector<std::shared_ptr<Exchange>> allExchanges() const;
+
+    /// @brief Ends the requests whose prompts may be sent to no engine any more.
+    void endBlocked();
     void resumeAfterConfiguration();
 
     /// @brief Lets the requests on these engines migrate if a long prefill stalls them.
--- a/apps/node/peer_message.capnp
+++ b/apps/node/peer_message.capnp
@@ -89,6 +89,20 @@
   # Start stamp of the incarnation that leaves; a later incarnation accepts work.
 }
 
+struct TargetCrash {
+  # A target crashed while it had not written for long on prompts with these parts.
+  target @0 :UInt64;
+  ageMs @1 :UInt32;
+  parts @2 :List(UInt64);
+}
+
+struct PromptBlock {
+  # Prompts with this part are sent to no engine.
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+  leftMs @2 :UInt32;
+}
+
 struct PeerMessage {
   sender @0 :Text;
   # Host of the sending instance.
@@ -120,4 +134,10 @@
   # Era of the registry to which `registryRevision` belongs; zero: the registry reports no eras.
   leaving @14 :List(Departure);
   # Targets that announced their shutdown to the sender and are not yet listed as draining.
+  crashes @15 :List(TargetCrash);
+  # Crashes of targets that the sender observed.
+  blockedParts @16 :List(PromptBlock);
+  # Parts of prompts that the sender blocks.
+  soundParts @17 :List(UInt64);
+  # Parts of prompts on which an engine has gone on writing.
 }
--- a/apps/node/peer_messages.cpp
+++ b/apps/node/peer_messages.cpp
@@ -1,6 +1,7 @@
 #include "peer_messages.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <capnp/serialize-packed.h>
 
@@ -46,6 +47,12 @@
         static_cast<std::uint32_t>(std::max<std::int64_t>((queued.expiresAt - now).count(), 0)));
 }
 
+std::uint32_t durationField(Milliseconds duration)
+{
+    constexpr std::int64_t greatest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, greatest));
+}
+
 } // namespace
 
 // The packed encoding removes zero bytes, which are frequent in these messages; traffic between
@@ -148,4 +155,47 @@
         writeQueued(waiting[i], *queued[i], now);
 }
 
+void writePrompts(wire::PeerMessage::Builder message, const PromptNews &news, Milliseconds now)
+{
+    if (news.isEmpty())
+        return;
+    capnp::List<wire::TargetCrash>::Builder crashes = message.initCrashes(news.crashes.size());
+    for (unsigned i = 0; i < news.crashes.size(); ++i) {
+        const limits::TargetCrash &crash = news.crashes[i];
+        crashes[i].setTarget(crash.target);
+        crashes[i].setAgeMs(durationField(now - crash.at));
+        capnp::List<std::uint64_t>::Builder parts = crashes[i].initParts(crash.parts.size());
+        unsigned position = 0;
+        for (const PromptPartId part : crash.parts)
+            parts.set(position++, part);
+    }
+    capnp::List<wire::PromptBlock>::Builder blocked = message.initBlockedParts(news.blocked.size());
+    for (unsigned i = 0; i < news.blocked.size(); ++i) {
+        blocked[i].setPart(news.blocked[i].part);
+        blocked[i].setAgeMs(durationField(now - news.blocked[i].block.from));
+        blocked[i].setLeftMs(durationField(news.blocked[i].block.until - now));
+    }
+    capnp::List<std::uint64_t>::Builder sound = message.initSoundParts(news.sound.size());
+    for (unsigned i = 0; i < news.sound.size(); ++i)
+        sound.set(i, news.sound[i]);
+}
+
+PromptNews readPrompts(wire::PeerMessage::Reader message, Milliseconds now)
+{
+    PromptNews news;
+    for (const wire::TargetCrash::Reader crash : message.getCrashes()) {
+        limits::TargetCrash read { crash.getTarget(), now - Milliseconds(crash.getAgeMs()), {} };
+        for (const PromptPartId part : crash.getParts())
+            read.parts.insert(part);
+        news.crashes.push_back(std::move(read));
+    }
+    for (const wire::PromptBlock::Reader blocked : message.getBlockedParts())
+        news.blocked.push_back({ blocked.getPart(),
+                                 { now - Milliseconds(blocked.getAgeMs()),
+                                   now + Milliseconds(blocked.getLeftMs()) } });
+    for (const PromptPartId part : message.getSoundParts())
+        news.sound.push_back(part);
+    return news;
+}
+
 } // namespace egretmount::node
--- a/apps/node/peer_messages.h
+++ b/apps/node/peer_messages.h
@@ -10,6 +10,7 @@
 #include <egretmount/placement/load_tracker.h>
 
 #include "peer_message.capnp.h"
+#include "prompt_news.h"
 
 namespace egretmount::node {
 
@@ -47,4 +48,11 @@
 placement::QueuedRequest readQueued(wire::QueuedRequest::Reader in, const std::string &owner,
                                     Milliseconds now);
 
+/// @brief Writes what the sender knows of prompts that crash engines.
+void writePrompts(wire::PeerMessage::Builder message, const PromptNews &news, Milliseconds now);
+
+/// @brief Reads what another instance knows of prompts that crash engines, with times on this
+///        instance's clock.
+PromptNews readPrompts(wire::PeerMessage::Reader message, Milliseconds now);
+
 } // namespace egretmount::node
--- a/apps/node/peer_receiving.cpp
+++ b/apps/node/peer_receiving.cpp
@@ -7,6 +7,7 @@
 #include "peer_messages.h"
 #include "peer_service.h"
 #include "placement_service.h"
+#include "prompt_guard.h"
 #include "registry_sync.h"
 #include "target_pool.h"
 
@@ -28,6 +29,7 @@
         const std::string host = message.getSender();
         applyMembership(host, message);
         applyRequestState(host, message);
+        applyPrompts(host, message);
         applyRegistryState(host, message);
     } catch (const kj::Exception &error) {
         LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " reason=\""
@@ -35,6 +37,13 @@
     }
 }
 
+void PeerService::applyPrompts(const std::string &host, wire::PeerMessage::Reader message)
+{
+    const PromptNews news = readPrompts(message, m_reactor.now());
+    if (!news.isEmpty())
+        m_prompts->applyRemote(host, news);
+}
+
 void PeerService::applyRegistryState(const std::string &host, wire::PeerMessage::Reader message)
 {
     const Milliseconds now = m_reactor.now();
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -16,6 +16,7 @@
 #include "fleet_service.h"
 #include "peer_messages.h"
 #include "placement_service.h"
+#include "prompt_guard.h"
 #include "registry_sync.h"
 #include "target_pool.h"
 
@@ -117,6 +118,7 @@
     m_placement = &m_registry.find<PlacementService>();
     m_sync = &m_registry.find<RegistrySync>();
     m_targets = &m_registry.find<TargetPool>();
+    m_prompts = &m_registry.find<PromptGuard>();
     const instance::Settings &settings = m_fleet->settings();
     m_memberList.self.host = settings.host;
     m_memberList.self.incarnation =
@@ -178,6 +180,24 @@
     scheduleFlush(Audience::Fleet, placementFlushDelay);
 }
 
+void PeerService::broadcastPrompts(const PromptNews &news)
+{
+    PromptNews &out = m_fleetOutbox.prompts;
+    out.crashes.insert(out.crashes.end(), news.crashes.begin(), news.crashes.end());
+    out.blocked.insert(out.blocked.end(), news.blocked.begin(), news.blocked.end());
+    out.sound.insert(out.sound.end(), news.sound.begin(), news.sound.end());
+    scheduleFlush(Audience::Fleet, placementFlushDelay);
+}
+
+void PeerService::sendPrompts(const std::string &host, const PromptNews &news)
+{
+    capnp::MallocMessageBuilder builder;
+    wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
+    writeHeader(message);
+    writePrompts(message, news, m_reactor.now());
+    send(host, serializePacked(builder));
+}
+
 PeerService::Outbox &PeerService::outboxOf(Audience audience)
 {
     return audience == Audience::Cell ? m_cellOutbox : m_fleetOutbox;
@@ -260,6 +280,7 @@
         departures[i].setTarget(outbox.departures[i].target);
         departures[i].setStartedAt(outbox.departures[i].startedAt);
     }
+    writePrompts(message, outbox.prompts, m_reactor.now());
     const std::string datagram = serializePacked(builder);
     if (audience == Audience::Cell)
         sendToCell(datagram);
@@ -294,6 +315,7 @@
     writeHeader(message);
     message.setIsStatement(true);
     writeRequests(message, inFlight, m_placement->ownQueued(), m_reactor.now());
+    writePrompts(message, m_prompts->snapshot(), m_reactor.now());
     return serializePacked(builder);
 }
 
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -16,11 +16,13 @@
 #include "kernel/service.h"
 #include "net/reactor.h"
 #include "peer_message.capnp.h"
+#include "prompt_news.h"
 
 namespace egretmount::node {
 
 class FleetService;
 class PlacementService;
+class PromptGuard;
 class RegistrySync;
 class TargetPool;
 
@@ -74,6 +76,12 @@
     /// @param startedAt Start stamp of the incarnation that leaves.
     void broadcastLeaving(placement::EngineKey target, std::int64_t startedAt);
 
+    /// @brief Broadcasts what this instance knows of prompts that crash engines.
+    void broadcastPrompts(const PromptNews &news);
+
+    /// @brief Sends it to one instance.
+    void sendPrompts(const std::string &host, const PromptNews &news);
+
     /// @brief Notifies the instances that receive registry changes through this one that it has a
     ///        new version.
     void announceRegistryVersion();
@@ -120,6 +128,7 @@
         std::vector<std::uint64_t> ended;
         std::vector<placement::EngineKey> ejections;
         std::vector<Departure> departures;
+        PromptNews prompts;
         Milliseconds flushAt; ///< When the pending flush runs.
         net::TimerId flushTimer = 0;
     };
@@ -134,6 +143,7 @@
     void applyRegistryState(const std::string &host, wire::PeerMessage::Reader message);
     void applyMembership(const std::string &host, wire::PeerMessage::Reader message);
     void applyRequestState(const std::string &host, wire::PeerMessage::Reader message);
+    void applyPrompts(const std::string &host, wire::PeerMessage::Reader message);
     void sendSnapshots();
 
     /// @param audience `Fleet`: without the requests that only the cell knows of.
@@ -156,6 +166,7 @@
     PlacementService *m_placement = nullptr;
     RegistrySync *m_sync = nullptr;
     TargetPool *m_targets = nullptr;
+    PromptGuard *m_prompts = nullptr;
     membership::MemberList m_memberList;
     std::vector<InstanceId> m_living;
     std::shared_ptr<Socket> m_socket;
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -52,6 +52,7 @@
     AllFull, ///< No target has a free slot and enough memory.
     TooLate, ///< The first event would come after the client timeout.
     Overloaded, ///< Admission control: its prefill would delay others too much for its weight.
+    PromptBlocked, ///< A part of its prompt crashes engines.
 };
 
 /// @brief The result for a request that is not placed.
@@ -191,11 +192,12 @@
 struct egretmount::NameTable<egretmount::node::RefusalReason>
 {
     using RefusalReason = egretmount::node::RefusalReason;
-    static constexpr std::array<NameEntry<RefusalReason>, 5> entries { {
+    static constexpr std::array<NameEntry<RefusalReason>, 6> entries { {
         { RefusalReason::NoTarget, "no-target" },
         { RefusalReason::TurnedAway, "turned-away" },
         { RefusalReason::AllFull, "all-full" },
         { RefusalReason::TooLate, "too-late" },
         { RefusalReason::Overloaded, "overloaded" },
+        { RefusalReason::PromptBlocked, "prompt-blocked" },
     } };
 };
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -49,7 +49,10 @@
     ++m_pool.health(keyOf(target.id)).inFlight;
     m_connection = m_pool.acquire(target, needsNewConnection, this);
     if (m_connection.isReused) {
-        writeRequest();
+        if (m_listener.maySend())
+            writeRequest();
+        else
+            withhold();
         return;
     }
     m_connectTimer = m_reactor.after(connectTimeout, [this] {
@@ -58,6 +61,15 @@
     });
 }
 
+void TargetSend::withhold()
+{
+    // Deferred because the listener must not be called before `start` returns.
+    m_reactor.defer([this, isAlive = m_isAlive, connection = m_connection.stream] {
+        if (*isAlive && !m_isOver && !m_isSent && connection == m_connection.stream)
+            fail(limits::SendFailure::Withheld);
+    });
+}
+
 void TargetSend::cancel()
 {
     if (!m_isOver)
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -30,7 +30,7 @@
     SendListener &operator=(const SendListener &) = delete;
     virtual ~SendListener() = default;
 
-    /// @brief Called on an established connection.
+    /// @brief Called on an established connection, immediately before the request is written.
     /// @return False if nothing may be sent. The send then fails as `Withheld`.
     virtual bool maySend() = 0;
     virtual void onRequestSent() = 0; ///< The target may execute the request after this call.
@@ -88,6 +88,8 @@
     void onBytes() override;
     void onEnd(net::StreamEnd end) override;
 
+    /// @brief Fails the send, soon, because the listener lets nothing be sent.
+    void withhold();
     void writeRequest();
 
     /// @brief Parses the next response head. Returns false if the body cannot be read yet.
--- a/tests/node/prompt_crash_test.cpp
+++ b/tests/node/prompt_crash_test.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/test_cluster.h"
@@ -208,3 +209,50 @@
     CHECK(second.status == 502); // it may have run
     CHECK(cluster.standIn.arrivalsOf("second").size() == 1);
 }
+
+// Guards against prompts that were queued before their part was found to crash engines.
+TEST_CASE("a queued prompt is refused at once when its part is found to crash engines")
+{
+    TestCluster cluster(subnet, 1, 4, 1);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript([](const Arrival &arrival) {
+        Script script = crashingScript(arrival);
+        if (arrival.requestId.compare(0, 4, "long") == 0) {
+            script.firstEventDelay = 5'000_ms; // still reads the prompt
+            script.isKilled = false;
+        }
+        return script;
+    });
+    // Sound requests, so that the bad part is not in most prompts.
+    for (int i = 0; i < 20; ++i) {
+        const std::string number = std::to_string(i);
+        CHECK(cluster.nodes.sendRequest(0, promptRequest("s" + number, "5" + number)).status
+              == 200);
+    }
+    std::vector<std::thread> callers;
+    std::vector<Response> responses(12);
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        callers.emplace_back([&, i] {
+            responses[i] = cluster.nodes.sendRequest(
+                0, promptRequest("long" + std::to_string(i), badPart, 60'000));
+        });
+        sleepFor(5_ms);
+    }
+    const Milliseconds start = monotonicNow();
+    Restarts restarts(cluster.standIn);
+    for (int i = 0; i < 5; ++i) {
+        cluster.nodes.sendRequest(0, promptRequest("short" + std::to_string(i), badPart));
+        sleepFor(150_ms);
+        restarts.update();
+    }
+    const std::size_t before = badArrivals(cluster.standIn).size();
+    for (std::thread &caller : callers)
+        caller.join();
+    CHECK(badArrivals(cluster.standIn).size() == before);
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        const bool wasSent = !cluster.standIn.arrivalsOf("long" + std::to_string(i)).empty();
+        CAPTURE(i);
+        CHECK(responses[i].status == (wasSent ? 502 : 503));
+        CHECK(monotonicNow() - start < 2'000_ms); // not at their deadline
+    }
+}
--- /dev/null
+++ b/tests/parts/limits_prompt_suspects_test.cpp
@@ -0,0 +1,408 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <egretmount/limits/prompt_suspects.h>
+
+using namespace egretmount;
+using namespace egretmount::limits;
+using namespace egretmount::literals;
+
+namespace {
+
+constexpr PromptPartId first = 1; // common to all prompts of the route
+constexpr PromptPartId bad = 2;
+constexpr PromptPartId rare = 3;
+constexpr std::uint64_t route = 7;
+
+// The state of an instance that has received prompts with a common first part.
+PromptSuspects usedState(Milliseconds now, int prompts = 20)
+{
+    PromptSuspects suspects;
+    suspects.decayedAt = now;
+    for (int i = 0; i < prompts; ++i)
+        recordPrompt(suspects, route, { first }, now);
+    return suspects;
+}
+
+bool isBlocked(const PromptSuspects &suspects, PromptPartId part, Milliseconds now)
+{
+    return blockedFor(suspects, { part }, now).has_value();
+}
+
+} // namespace
+
+// Guards against prompts that crash one engine after the other.
+TEST_CASE("a part is blocked once it has crashed three engines one after the other")
+{
+    PromptSuspects suspects = usedState(0_ms);
+    recordPrompt(suspects, route, { first, bad }, 0_ms);
+    CHECK(recordCrash(suspects, 101, { first, bad }, 1'000_ms, 1'000_ms).empty());
+    CHECK(isSuspected(suspects, { bad }));
+    CHECK(recordCrash(suspects, 102, { first, bad }, 1'400_ms, 1'400_ms).empty());
+    CHECK(recordCrash(suspects, 103, { bad }, 1'800_ms, 1'800_ms) == std::vector { bad });
+    CHECK(isBlocked(suspects, bad, 1'800_ms));
+    CHECK_FALSE(isBlocked(suspects, first, 1'800_ms)); // nearly all prompts hold it
+    CHECK(isBlocked(suspects, bad, 1'799_ms + promptBlockTime));
+    CHECK_FALSE(isBlocked(suspects, bad, 1'800_ms + promptBlockTime));
+}
+
+// Guards against blame for prompts whose engines fail together, as those of a zone do.
+TEST_CASE("engines that crash at the same moment block no part")
+{
+    PromptSuspects suspects = usedState(0_ms);
+    recordPrompt(suspects, route, { first, rare }, 0_ms);
+    for (std::uint64_t target = 1; target <= 20; ++target) {
+        const Milliseconds at = 1'000_ms + Milliseconds(static_cast<std::int64_t>(target * 20));
+        CHECK(recordCrash(suspects, target, { rare }, at, at).empty());
+    }
+    CHECK_FALSE(isBlocked(suspects, rare, 1'400_ms));
+}
+
+TEST_CASE("the reports of several instances of one crash count once")
+{
+    PromptSuspects suspects = usedState(0_ms);
+    recordPrompt(suspects, route, { bad }, 0_ms);
+    for (int report = 0; report < 10; ++report) {
+        const Milliseconds at = 1'000_ms + Milliseconds(report * 20);
+        CHECK(recordCrash(suspects, 101, { bad }, at, at).empty());
+    }
+    CHECK(crashCount(suspects, bad) == 1);
+    // The same target in a later incarnation.
+    recordCrash(suspects, 101, { bad }, 5'000_ms, 5'000_ms);
+    CHECK(crashCount(suspects, bad) == 2);
+}
+
+// Guards against a refusal of sound prompts that shared an engine with one that crashes it.
+TEST_CASE("a part that an engine has gone on writing on is never blocked")
+{
+    PromptSuspects suspects = usedState(0_ms);
+    recordPrompt(suspects, route, { rare }, 0_ms);
+    CHECK(recordSound(suspects, { rare }, 500_ms).empty());
+    for (std::uint64_t target = 1; target <= 10; ++target) {
+        const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
+        CHECK(recordCrash(suspects, target, { rare }, at, at).empty());
+    }
+    CHECK_FALSE(isSuspected(suspects, { rare }));
+    CHECK_FALSE(recordBlock(suspects, rare, { 10'000_ms, 900'000_ms }, 10'000_ms));
+}
+
+TEST_CASE("proof that a part is sound ends its block")
+{
+    PromptSuspects suspects = usedState(0_ms);
+    CHECK(recordBlock(suspects, rare, { 0_ms, 900'000_ms }, 1'000_ms)); // not received here yet
+    CHECK_FALSE(recordBlock(suspects, rare, { 0_ms, 900'000_ms }, 1'000_ms));
+    CHECK(isBlocked(suspects, rare, 1'000_ms));
+    CHECK(recordSound(suspects, { rare }, 1'100_ms) == std::vector { rare });
+    CHECK_FALSE(isBlocked(suspects, rare, 1'100_ms));
+}
+
+// Guards against blame for the neighbours of a prompt that is known to crash engines.
+TEST_CASE("a crash that a blocked part explains implicates no other part")
+{
+    PromptSuspects suspects = usedState(0_ms);
+    recordPrompt(suspects, route, { bad }, 0_ms);
+    recordPrompt(suspects, route, { rare }, 0_ms);
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
+        recordCrash(suspects, target, { bad }, at, at);
+        if (target > 1) // the neighbour was there twice
+            recordCrash(suspects, target, { rare }, at + 10_ms, at + 10_ms);
+    }
+    CHECK(isBlocked(suspects, bad, 4'000_ms));
+    CHECK(crashCount(suspects, rare) == 0);
+    CHECK_FALSE(isSuspected(suspects, { rare }));
+    recordCrash(suspects, 9, { bad, rare }, 5'000_ms, 5'000_ms);
+    CHECK_FALSE(isBlocked(suspects, rare, 5'000_ms));
+}
+
+TEST_CASE("one crash after the end of a block blocks the part again, for longer")
+{
+    PromptSuspects suspects = usedState(0_ms);
+    recordPrompt(suspects, route, { bad }, 0_ms);
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
+        recordCrash(suspects, target, { bad }, at, at);
+    }
+    const Milliseconds later = 3'000_ms + promptBlockTime + 60'000_ms;
+    removeExpired(suspects, later);
+    CHECK_FALSE(isBlocked(suspects, bad, later));
+    CHECK(recordCrash(suspects, 4, { bad }, later, later) == std::vector { bad });
+    CHECK(isBlocked(suspects, bad, later + promptBlockTime * 2 - 1_ms));
+    const Milliseconds end = later + promptBlockTime * 4;
+    removeExpired(suspects, end);
+    CHECK(suspects.blocked.empty());
+    CHECK(suspects.crashes.empty());
+}
+
+TEST_CASE("the state stays within its bounds whatever parts callers invent")
+{
+    PromptSuspects suspects;
+    std::mt19937_64 random(1);
+    for (int i = 0; i < 60'000; ++i)
+        recordPrompt(suspects, random(), { random(), random() }, Milliseconds(i));
+    for (std::uint64_t target = 0; target < 2'000; ++target) {
+        std::vector<PromptPartId> parts;
+        for (int part = 0; part < 100; ++part)
+            parts.push_back(random());
+        recordCrash(suspects, target, parts, 60'000_ms, 60'000_ms);
+    }
+    for (int i = 0; i < 500; ++i)
+        recordBlock(suspects, random(), { 60'000_ms, 90'000_ms }, 60'000_ms);
+    removeExpired(suspects, 60'000_ms);
+    CHECK(suspects.parts.size() <= maxPromptParts);
+    CHECK(suspects.crashes.size() <= maxTargetCrashes);
+    CHECK(suspects.blocked.size() <= maxBlockedParts);
+    CHECK(suspects.receivedByRoute.size() <= maxPromptRoutes);
+    for (const TargetCrash &crash : suspects.crashes)
+        CHECK(crash.parts.size() <= maxPartsPerCrash);
+}
+
+namespace {
+
+// Instances that tell each other of crashes, with delays and losses, beside engines that one part
+// crashes. In memory, in steps of a millisecond.
+struct FleetModel
+{
+    struct Message
+    {
+        Milliseconds at;
+        std::size_t from = 0;
+        std::size_t to = 0;
+        TargetCrash crash;
+        std::vector<PromptPartId> blocked;
+        std::vector<PromptPartId> sound;
+    };
+
+    std::vector<PromptSuspects> instances;
+    std::vector<std::set<PromptPartId>> accused; ///< By each instance.
+    std::vector<Message> network;
+    std::mt19937_64 random { 1 };
+    Milliseconds now;
+    double lossRate = 0;
+    std::vector<Milliseconds> crashes;
+    std::vector<Milliseconds> badArrivals;
+    int soundSent = 0;
+    int soundRefused = 0;
+
+    explicit FleetModel(std::size_t count, std::uint64_t seed)
+        : instances(count)
+        , accused(count)
+        , random(seed)
+    { }
+
+    bool occurs(double probability)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(random) < probability;
+    }
+
+    void broadcast(std::size_t from, const TargetCrash &crash,
+                   const std::vector<PromptPartId> &blocked, const std::vector<PromptPartId> &sound)
+    {
+        for (std::size_t to = 0; to < instances.size(); ++to) {
+            if (to != from)
+                send({ {}, from, to, crash, blocked, sound });
+        }
+    }
+
+    void send(Message message)
+    {
+        message.at = now + Milliseconds(2 + static_cast<std::int64_t>(random() % 30));
+        if (!occurs(lossRate))
+            network.push_back(std::move(message));
+    }
+
+    // An instance that accused a part which others know to be sound passes that on.
+    void clear(const Message &message)
+    {
+        const std::vector<PromptPartId> cleared =
+            recordSound(instances[message.to], message.sound, now);
+        std::vector<PromptPartId> withdrawn;
+        for (const PromptPartId part : cleared) {
+            if (accused[message.to].erase(part) > 0)
+                withdrawn.push_back(part);
+        }
+        if (!withdrawn.empty())
+            broadcast(message.to, {}, {}, withdrawn);
+    }
+
+    void replyTo(const Message &message)
+    {
+        Message reply { {}, message.to, message.from, {}, {}, {} };
+        for (const PromptPartId part : message.crash.parts) {
+            if (isSound(instances[message.to], part))
+                reply.sound.push_back(part);
+        }
+        for (const PromptPartId part : message.blocked) {
+            if (isSound(instances[message.to], part))
+                reply.sound.push_back(part);
+        }
+        if (!reply.sound.empty())
+            send(reply);
+    }
+
+    void applyCrash(std::size_t at, const TargetCrash &crash)
+    {
+        const std::vector<PromptPartId> blocked = recordCrash(
+            instances[at], crash.target, { crash.parts.begin(), crash.parts.end() }, crash.at, now);
+        accused[at].insert(blocked.begin(), blocked.end());
+        if (!blocked.empty())
+            broadcast(at, {}, blocked, {});
+    }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        const auto isDue = [&](const Message &message) { return message.at <= now; };
+        std::copy_if(network.begin(), network.end(), std::back_inserter(due), isDue);
+        network.erase(std::remove_if(network.begin(), network.end(), isDue), network.end());
+        for (const Message &message : due) {
+            clear(message);
+            replyTo(message);
+            for (const PromptPartId part : message.blocked)
+                recordBlock(instances[message.to], part, { now, now + promptBlockTime }, now);
+            if (!message.crash.parts.empty())
+                applyCrash(message.to, message.crash);
+        }
+    }
+
+    // An engine crashes 120 ms after a prompt with the bad part has arrived there, and takes
+    // neighbours with it whose answers have not begun.
+    void runBadPrompt(std::size_t at, std::uint64_t engine, const std::vector<PromptPartId> &parts)
+    {
+        badArrivals.push_back(now);
+        pending.push_back({ now + 120_ms, at, engine, parts });
+    }
+
+    struct Crash
+    {
+        Milliseconds at;
+        std::size_t instance = 0;
+        std::uint64_t engine = 0;
+        std::vector<PromptPartId> parts;
+    };
+    std::vector<Crash> pending;
+
+    void crashEngines(double neighbourRate)
+    {
+        for (auto position = pending.begin(); position != pending.end();) {
+            if (position->at > now) {
+                ++position;
+                continue;
+            }
+            const Crash crash = *position;
+            position = pending.erase(position);
+            crashes.push_back(now);
+            report(crash.instance, crash.engine, crash.parts);
+            for (std::size_t i = 0; i < instances.size(); ++i) {
+                if (occurs(neighbourRate))
+                    report(i, crash.engine, { first, 1'000 + random() % 50 });
+            }
+        }
+    }
+
+    void report(std::size_t instance, std::uint64_t engine, const std::vector<PromptPartId> &parts)
+    {
+        const std::vector<PromptPartId> unproven = unprovenParts(instances[instance], parts);
+        if (unproven.empty())
+            return;
+        const TargetCrash crash { engine, now, { unproven.begin(), unproven.end() } };
+        accused[instance].insert(unproven.begin(), unproven.end());
+        broadcast(instance, crash, {}, {});
+        applyCrash(instance, crash);
+    }
+
+    void run(Milliseconds duration, double promptsPerMs, double badPerMs, double neighbourRate,
+             Milliseconds badFrom)
+    {
+        std::vector<std::pair<Milliseconds, std::pair<std::size_t, std::vector<PromptPartId>>>>
+            served;
+        for (; now < duration; now += 1_ms) {
+            deliver();
+            crashEngines(neighbourRate);
+            while (!served.empty() && served.front().first <= now) {
+                const auto [instance, parts] = served.front().second;
+                served.erase(served.begin());
+                const std::vector<PromptPartId> cleared =
+                    recordSound(instances[instance], parts, now);
+                if (!cleared.empty())
+                    broadcast(instance, {}, {}, cleared);
+            }
+            if (occurs(promptsPerMs)) {
+                const std::size_t instance = random() % instances.size();
+                const std::vector<PromptPartId> parts { first, 1'000 + random() % 50 };
+                recordPrompt(instances[instance], route, parts, now);
+                ++soundSent;
+                if (blockedFor(instances[instance], parts, now))
+                    ++soundRefused;
+                else if (!occurs(now < badFrom ? 0.05 : 0.3)) // the others break with their engine
+                    served.push_back({ now + 800_ms, { instance, parts } });
+            }
+            if (now >= badFrom && occurs(badPerMs)) {
+                const std::size_t instance = random() % instances.size();
+                const std::vector<PromptPartId> parts { first, bad, 1'000 + random() % 50 };
+                recordPrompt(instances[instance], route, parts, now);
+                if (!blockedFor(instances[instance], parts, now))
+                    runBadPrompt(instance, random() % 100'000, parts);
+            }
+        }
+    }
+
+    std::size_t lateArrivals() const
+    {
+        if (crashes.size() < 5)
+            return 0;
+        return static_cast<std::size_t>(
+            std::count_if(badArrivals.begin(), badArrivals.end(),
+                          [&](Milliseconds at) { return at > crashes[4] + 3'000_ms; }));
+    }
+};
+
+} // namespace
+
+// Guards against instances that each learn for themselves, at the cost of engines each.
+TEST_CASE("a fleet stops sending a prompt that crashes engines within the time of contact")
+{
+    struct Case
+    {
+        std::size_t instances;
+        double promptsPerMs;
+        double badPerMs;
+    };
+    for (const Case &load : { Case { 6, 0.03, 0.005 }, Case { 8, 0.05, 0.002 },
+                              Case { 8, 0.05, 0.02 }, Case { 295, 0.3, 0.03 } }) {
+        for (std::uint64_t seed = 1; seed <= (load.instances > 100 ? 3U : 20U); ++seed) {
+            CAPTURE(load.instances);
+            CAPTURE(seed);
+            FleetModel model(load.instances, seed);
+            model.lossRate = seed % 2 == 0 ? 0.05 : 0;
+            model.run(15'000_ms, load.promptsPerMs, load.badPerMs, 0.3 / load.instances * 6,
+                      5'000_ms);
+            CHECK(model.crashes.size() >= 3);
+            CHECK(model.lateArrivals() <= 3);
+            CHECK(model.soundRefused * 50 <= model.soundSent); // at most two in a hundred
+        }
+    }
+}
+
+// Guards against a sound prompt that is blocked because an availability zone was lost.
+TEST_CASE("a lost zone beside sound prompts blocks nothing")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        FleetModel model(8, seed);
+        model.run(5'000_ms, 0.05, 0, 0, 100'000_ms);
+        for (std::uint64_t engine = 0; engine < 60; ++engine) {
+            // Five waves of engines that fail together, 0.9 s apart.
+            if (engine % 12 == 0)
+                model.run(model.now + 900_ms, 0.05, 0, 0, 100'000_ms);
+            model.report(model.random() % 8, engine, { first, 1'000 + model.random() % 50 });
+        }
+        model.run(model.now + 3'000_ms, 0.05, 0, 0, 100'000_ms);
+        CHECK(model.soundRefused == 0);
+    }
+}
