Wait for the killed target in a test instead of asking whether it runs

Failed once in a run with three other tests beside it: the caller's response came while the target, which kills itself, still counted as running. A killed process's sockets are closed before its parent can reap it, so the check raced (inferred from the order in which the kernel ends a process; not reproduced). wait() is as strict: it fails unless a signal ended the process.

--- a/tests/node/target_kill_test.cpp
+++ b/tests/node/target_kill_test.cpp
@@ -135,7 +135,7 @@
             KillCluster kill("app", { omitsLength, size, "--events=0", "--kills_itself" });
             const Response response =
                 kill.cluster.nodes.sendRequest(0, plainRequest("pay", "killed"));
-            CHECK_FALSE(kill.target.isRunning());
+            CHECK(kill.target.wait() == -1); // killed by a signal
             CHECK_FALSE((response.status == 200 && response.isComplete));
         }
     }
