--- a/tests/node/support/standin.cpp
+++ b/tests/node/support/standin.cpp
@@ -225,6 +225,13 @@
         });
     }
 
+    std::string limitField() const
+    {
+        const std::lock_guard<std::mutex> lock(m_owner.m_mutex);
+        const auto found = m_owner.m_limits.find(m_target);
+        return found == m_owner.m_limits.end() ? "" : "Server-Limit: " + found->second + "\r\n";
+    }
+
     std::string responseHead(int status, const std::string &fields) const
     {
         const std::string id =
@@ -232,7 +239,7 @@
         return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + id
                + "\r\nServer-Load: 1,0,16\r\n" + (m_script.leaves ? "Server-Leaving: 1\r\n" : "")
                + (m_script.retryAfter.empty() ? "" : "Retry-After: " + m_script.retryAfter + "\r\n")
-               + fields;
+               + limitField() + fields;
     }
 
     void respond(int status, const std::string &body, const std::string &fields)
@@ -642,6 +649,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_leaving.erase(targetId(number));
+        m_limits.erase(targetId(number));
     }
     m_targets[number] =
         std::make_shared<Target>(*this, targetId(number), address(100 + number, 8080));
@@ -668,6 +676,15 @@
     m_leaving.insert(targetId(number));
 }
 
+void StandIn::setLimit(int number, const std::string &value)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (value.empty())
+        m_limits.erase(targetId(number));
+    else
+        m_limits[targetId(number)] = value;
+}
+
 void StandIn::setLeavingAtNextOrder()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/tests/node/support/standin.h
+++ b/tests/node/support/standin.h
@@ -121,6 +121,10 @@
     /// @brief Makes a target state in all its responses that it is leaving, until it restarts.
     void setLeaving(int number);
 
+    /// @brief Makes a target name a limit in all its responses until it restarts.
+    /// @param value The header's value; empty: it names none any more.
+    void setLimit(int number, const std::string &value);
+
     /// @brief Makes the target that receives the next order leave, as by `setLeaving`.
     void setLeavingAtNextOrder();
 
@@ -210,6 +214,7 @@
     std::vector<Arrival> m_arrivals; // guarded by m_mutex
     std::vector<Arrival> m_engineCalls; // guarded by m_mutex
     std::set<std::string> m_leaving; // guarded by m_mutex; targets
+    std::map<std::string, std::string> m_limits; // guarded by m_mutex; by target
     bool m_leavesAtNextOrder = false; // guarded by m_mutex
     std::function<Script(const Arrival &)> m_script; // guarded by m_mutex
     std::function<void(const Arrival &)> m_recorder; // guarded by m_mutex
