Keep to the request rate that a target names, over all instances

Callers noticed nothing; the engine in need got no relief.

Cause: nothing read Server-Limit. Class of fault: a bound over all instances that each instance would have to keep alone.

One check, immediately before a request is written, takes from the share: first sends, repeats, resumes, migrations, queued and reused connections alike; placement asks it earlier and counts the target as absent meanwhile, so that what no target takes is refused at once. Reports count as requests; a limited engine prefills no shards for others.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -282,7 +282,7 @@
     return !m_services.prompts.blockedFor(m_caller.sharedParts)
            && targets.mayReceive(m_placement.target.id)
            && std::all_of(m_placement.helpers.begin(), m_placement.helpers.end(),
-                          [&](const TargetId &helper) { return targets.mayReceive(helper); });
+                          [&](const TargetId &helper) { return targets.mayHelp(helper); });
 }
 
 void Exchange::placeAnew()
@@ -296,7 +296,7 @@
 
 bool Exchange::maySend()
 {
-    return isPlacementUsable();
+    return isPlacementUsable() && m_services.targets.tryAcquireSend(m_placement.target.id);
 }
 
 void Exchange::onRequestSent()
--- a/apps/node/metrics_service.h
+++ b/apps/node/metrics_service.h
@@ -36,6 +36,7 @@
 enum class TargetNoticeKind {
     Leaving, ///< It shuts down; it was not known to do so.
     TurnedAway, ///< It wants no requests for a time.
+    Limited, ///< It takes a number of requests per second from all instances.
 };
 
 /// @brief Counters and latency histograms in the Prometheus text format.
@@ -95,8 +96,9 @@
 struct egretmount::NameTable<egretmount::node::TargetNoticeKind>
 {
     using TargetNoticeKind = egretmount::node::TargetNoticeKind;
-    static constexpr std::array<NameEntry<TargetNoticeKind>, 2> entries { {
+    static constexpr std::array<NameEntry<TargetNoticeKind>, 3> entries { {
         { TargetNoticeKind::Leaving, "leaving" },
         { TargetNoticeKind::TurnedAway, "turned-away" },
+        { TargetNoticeKind::Limited, "limited" },
     } };
 };
--- a/apps/node/peer_message.capnp
+++ b/apps/node/peer_message.capnp
@@ -103,6 +103,17 @@
   leftMs @2 :UInt32;
 }
 
+struct TargetLimit {
+  # The requests per second that a target takes from all instances together.
+  target @0 :UInt64;
+  startedAt @1 :Int64;
+  # Start stamp of the incarnation that named the limit.
+  perSecond @2 :Float32;
+  # Zero: the target names no limit any more.
+  ageMs @3 :UInt32;
+  # Time since the target stated it.
+}
+
 struct PeerMessage {
   sender @0 :Text;
   # Host of the sending instance.
@@ -140,4 +151,6 @@
   # Parts of prompts that the sender blocks.
   soundParts @17 :List(UInt64);
   # Parts of prompts on which an engine has gone on writing.
+  limits @18 :List(TargetLimit);
+  # Limits that targets have named, and ends of limits.
 }
--- a/apps/node/peer_messages.cpp
+++ b/apps/node/peer_messages.cpp
@@ -198,4 +198,27 @@
     return news;
 }
 
+void writeLimits(wire::PeerMessage::Builder message, const std::vector<TargetLimitNews> &limits,
+                 Milliseconds now)
+{
+    if (limits.empty())
+        return;
+    capnp::List<wire::TargetLimit>::Builder list = message.initLimits(limits.size());
+    for (unsigned i = 0; i < limits.size(); ++i) {
+        list[i].setTarget(limits[i].target);
+        list[i].setStartedAt(limits[i].startedAt);
+        list[i].setPerSecond(static_cast<float>(limits[i].perSecond));
+        list[i].setAgeMs(durationField(now - limits[i].heardAt));
+    }
+}
+
+std::vector<TargetLimitNews> readLimits(wire::PeerMessage::Reader message, Milliseconds now)
+{
+    std::vector<TargetLimitNews> limits;
+    for (const wire::TargetLimit::Reader limit : message.getLimits())
+        limits.push_back({ limit.getTarget(), limit.getStartedAt(), limit.getPerSecond(),
+                           now - Milliseconds(limit.getAgeMs()) });
+    return limits;
+}
+
 } // namespace egretmount::node
--- a/apps/node/peer_messages.h
+++ b/apps/node/peer_messages.h
@@ -11,6 +11,7 @@
 
 #include "peer_message.capnp.h"
 #include "prompt_news.h"
+#include "target_limit_news.h"
 
 namespace egretmount::node {
 
@@ -55,4 +56,11 @@
 ///        instance's clock.
 PromptNews readPrompts(wire::PeerMessage::Reader message, Milliseconds now);
 
+/// @brief Writes the rate limits of targets, and ends of limits.
+void writeLimits(wire::PeerMessage::Builder message, const std::vector<TargetLimitNews> &limits,
+                 Milliseconds now);
+
+/// @brief Reads the rate limits of targets, with times on this instance's clock.
+std::vector<TargetLimitNews> readLimits(wire::PeerMessage::Reader message, Milliseconds now);
+
 } // namespace egretmount::node
--- a/apps/node/peer_receiving.cpp
+++ b/apps/node/peer_receiving.cpp
@@ -121,6 +121,8 @@
         m_targets->ejectUntil(ejection.getTarget(), now + Milliseconds(ejection.getLeftMs()));
     for (const wire::Departure::Reader departure : message.getLeaving())
         m_targets->recordLeavingFromPeer(departure.getTarget(), departure.getStartedAt());
+    for (const TargetLimitNews &news : readLimits(message, now))
+        m_targets->recordLimitFromPeer(news);
 }
 
 } // namespace egretmount::node
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -180,6 +180,12 @@
     scheduleFlush(Audience::Fleet, placementFlushDelay);
 }
 
+void PeerService::broadcastLimit(const TargetLimitNews &news)
+{
+    m_fleetOutbox.limits.push_back(news);
+    scheduleFlush(Audience::Fleet, placementFlushDelay);
+}
+
 void PeerService::broadcastPrompts(const PromptNews &news)
 {
     PromptNews &out = m_fleetOutbox.prompts;
@@ -281,6 +287,7 @@
         departures[i].setStartedAt(outbox.departures[i].startedAt);
     }
     writePrompts(message, outbox.prompts, m_reactor.now());
+    writeLimits(message, outbox.limits, m_reactor.now());
     const std::string datagram = serializePacked(builder);
     if (audience == Audience::Cell)
         sendToCell(datagram);
@@ -316,6 +323,7 @@
     message.setIsStatement(true);
     writeRequests(message, inFlight, m_placement->ownQueued(), m_reactor.now());
     writePrompts(message, m_prompts->snapshot(), m_reactor.now());
+    writeLimits(message, m_targets->limitsInForce(), m_reactor.now());
     return serializePacked(builder);
 }
 
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -17,6 +17,7 @@
 #include "net/reactor.h"
 #include "peer_message.capnp.h"
 #include "prompt_news.h"
+#include "target_limit_news.h"
 
 namespace egretmount::node {
 
@@ -76,6 +77,9 @@
     /// @param startedAt Start stamp of the incarnation that leaves.
     void broadcastLeaving(placement::EngineKey target, std::int64_t startedAt);
 
+    /// @brief Broadcasts the rate limit that a target has named, or its end.
+    void broadcastLimit(const TargetLimitNews &news);
+
     /// @brief Broadcasts what this instance knows of prompts that crash engines.
     void broadcastPrompts(const PromptNews &news);
 
@@ -129,6 +133,7 @@
         std::vector<placement::EngineKey> ejections;
         std::vector<Departure> departures;
         PromptNews prompts;
+        std::vector<TargetLimitNews> limits;
         Milliseconds flushAt; ///< When the pending flush runs.
         net::TimerId flushTimer = 0;
     };
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -130,6 +130,8 @@
         candidate.penalty += ejectedPenalty;
         candidate.canBeHelper = false;
     }
+    if (m_targets->isLimited(target.entry))
+        candidate.canBeHelper = false;
     if (target.isUnlisted)
         candidate.penalty += unlistedPenalty;
     if (target.entry.zone != m_fleet->settings().zone)
--- a/apps/node/prompt_guard.cpp
+++ b/apps/node/prompt_guard.cpp
@@ -85,7 +85,7 @@
 void PromptGuard::onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
                                    const std::vector<PromptPartId> &parts)
 {
-    if (!m_targets->acceptsWork(target))
+    if (m_targets->turnsAway(target))
         return;
     const std::vector<PromptPartId> unproven = limits::unprovenParts(m_suspects, parts);
     if (unproven.empty())
@@ -99,6 +99,7 @@
     check.startedAt = startedAt;
     check.askedAt = m_reactor.now();
     check.client = std::make_shared<net::HttpClient>(m_reactor, target.address);
+    m_targets->recordCall(target);
     check.client->get(
         std::string(platform::reportPath()), crashCheckTimeout,
         [this, key](int status, const std::string &body) { onChecked(key, status, body); });
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -28,6 +28,8 @@
 constexpr double failureSmoothing = 0.1; // averages over about the last ten sends
 // A report needs no slot, so a working target returns it within milliseconds.
 constexpr Milliseconds probeTimeout = Milliseconds(400);
+// How often an instance that hears a limit again and again passes it on.
+constexpr Milliseconds limitAnnouncementInterval = Milliseconds(5'000);
 
 } // namespace
 
@@ -75,6 +77,9 @@
     m_fleet = &m_registry.find<FleetService>();
     m_metrics = &m_registry.find<MetricsService>();
     m_peers = &m_registry.find<PeerService>();
+    m_self = InstanceId(m_fleet->settings().host);
+    m_metrics->addGauge("limited_targets",
+                        [this] { return static_cast<double>(limitsInForce().size()); });
     m_fleet->onTargetEnded([this](const TargetId &id) {
         closeIdle(id);
         TargetHealth &health = m_health[keyOf(id)];
@@ -85,6 +90,7 @@
     m_reactor.every(idleSweepInterval, [this] { closeExpired(); });
     m_reactor.every(noticeSweepInterval, [this] {
         limits::removeOutdated(m_notices, m_fleet->table(), m_reactor.now());
+        limits::removeOutdated(m_rates, m_fleet->table(), m_reactor.now());
     });
 }
 
@@ -178,12 +184,16 @@
                                const platform::ResponseFields &response,
                                std::optional<std::int64_t> startedAt)
 {
-    if (!response.isLeaving && !response.isTurnedAway)
+    // Only the response to a request tells that a target names no limit any more.
+    const bool mayEndLimit = response.isSigned && m_rates.byTarget.count(target.id) > 0;
+    if (!response.isLeaving && !response.isTurnedAway && !response.isLimited && !mayEndLimit)
         return;
     const std::optional<fleet::TargetEntry> sender = senderOf(response, target);
     if (!sender)
         return;
     const std::int64_t start = startedAt.value_or(sender->startedAt);
+    if (response.isLimited || mayEndLimit)
+        recordLimit(*sender, start, response);
     if (response.isLeaving)
         recordLeaving(*sender, start);
     if (response.isTurnedAway)
@@ -222,6 +232,106 @@
     m_metrics->countTargetNotice(TargetNoticeKind::TurnedAway);
 }
 
+void TargetPool::recordLimit(const fleet::TargetEntry &target, std::int64_t startedAt,
+                             const platform::ResponseFields &response)
+{
+    const Milliseconds now = m_reactor.now();
+    if (!response.isLimited) {
+        if (!limits::recordUnlimited(m_rates, target.id, startedAt, now))
+            return;
+        LOG(INFO) << "targets: target names no limit any more target=" << target.id.value
+                  << " started=" << startedAt << " from=response";
+        announceLimit(target);
+        return;
+    }
+    if (!response.requestsPerSecond) {
+        LOG_EVERY_N(WARNING, 100) << "targets: malformed limit ignored target=" << target.id.value;
+        return;
+    }
+    const bool hasChanged =
+        limits::recordRate(m_rates, target.id, startedAt, *response.requestsPerSecond, now, now);
+    if (hasChanged) {
+        LOG(INFO) << "targets: target names a limit target=" << target.id.value
+                  << " started=" << startedAt << " per_second=" << *response.requestsPerSecond
+                  << " share="
+                  << limits::rateShare(m_rates.byTarget.at(target.id), target.id, rateSharing(),
+                                       now)
+                  << " from=response";
+        m_metrics->countTargetNotice(TargetNoticeKind::Limited);
+    }
+    if (hasChanged || now - m_limitsAnnouncedAt[target.id] >= limitAnnouncementInterval)
+        announceLimit(target);
+}
+
+void TargetPool::announceLimit(const fleet::TargetEntry &target)
+{
+    const limits::TargetRate &rate = m_rates.byTarget.at(target.id);
+    m_limitsAnnouncedAt[target.id] = m_reactor.now();
+    m_peers->broadcastLimit({ keyOf(target.id), rate.startedAt, rate.perSecond, rate.heardAt });
+}
+
+void TargetPool::recordLimitFromPeer(const TargetLimitNews &news)
+{
+    const fleet::Target *known = m_fleet->findTarget(news.target);
+    if (known == nullptr)
+        return; // its own responses will say so
+    const TargetId &id = known->entry.id;
+    const bool hasChanged =
+        news.perSecond > 0 ? limits::recordRate(m_rates, id, news.startedAt, news.perSecond,
+                                                news.heardAt, m_reactor.now())
+                           : limits::recordUnlimited(m_rates, id, news.startedAt, news.heardAt);
+    if (hasChanged)
+        LOG(INFO) << "targets: target "
+                  << (news.perSecond > 0 ? "names a limit" : "names no limit any more")
+                  << " target=" << id.value << " started=" << news.startedAt
+                  << " per_second=" << news.perSecond
+                  << " age_ms=" << (m_reactor.now() - news.heardAt).count() << " from=peer";
+}
+
+std::vector<TargetLimitNews> TargetPool::limitsInForce() const
+{
+    std::vector<TargetLimitNews> news;
+    for (const auto &[id, rate] : m_rates.byTarget) {
+        if (rate.perSecond > 0)
+            news.push_back({ keyOf(id), rate.startedAt, rate.perSecond, rate.heardAt });
+    }
+    return news;
+}
+
+limits::RateSharing TargetPool::rateSharing() const
+{
+    return { m_self, m_peers->living() };
+}
+
+bool TargetPool::isLimited(const fleet::TargetEntry &target) const
+{
+    return limits::findRate(m_rates, target) != nullptr;
+}
+
+bool TargetPool::turnsAway(const fleet::TargetEntry &target) const
+{
+    return limits::isTurnedAway(m_notices, target, m_reactor.now());
+}
+
+bool TargetPool::tryAcquireSend(const TargetId &target)
+{
+    const fleet::TargetTable &table = m_fleet->table();
+    const auto found = table.targets.find(target);
+    if (found == table.targets.end())
+        return false;
+    const fleet::TargetEntry &entry = found->second.entry;
+    const Milliseconds now = m_reactor.now();
+    if (limits::timeUntilSend(m_rates, entry, rateSharing(), now) != Milliseconds())
+        return false;
+    limits::recordSend(m_rates, entry, now);
+    return true;
+}
+
+void TargetPool::recordCall(const fleet::TargetEntry &target)
+{
+    limits::recordSend(m_rates, target, m_reactor.now());
+}
+
 void TargetPool::recordLeavingFromPeer(placement::EngineKey target, std::int64_t startedAt)
 {
     const fleet::Target *known = m_fleet->findTarget(target);
@@ -237,7 +347,9 @@
 
 bool TargetPool::acceptsWork(const fleet::TargetEntry &target) const
 {
-    return limits::acceptsWork(m_notices, target, m_reactor.now());
+    const Milliseconds now = m_reactor.now();
+    return limits::acceptsWork(m_notices, target, now)
+           && limits::timeUntilSend(m_rates, target, rateSharing(), now) == Milliseconds();
 }
 
 bool TargetPool::mayReceive(const TargetId &target) const
@@ -248,16 +360,33 @@
            && acceptsWork(found->second.entry);
 }
 
+bool TargetPool::mayHelp(const TargetId &target) const
+{
+    return mayReceive(target) && !isLimited(m_fleet->table().targets.at(target).entry);
+}
+
 std::optional<Milliseconds>
 TargetPool::timeUntilReturn(const std::vector<const fleet::Target *> &targets) const
 {
-    return limits::timeUntilReturn(m_notices, targets, m_reactor.now());
+    std::optional<Milliseconds> earliest;
+    for (const fleet::Target *target : targets) {
+        const Milliseconds now = m_reactor.now();
+        const std::optional<Milliseconds> returns =
+            limits::timeUntilReturn(m_notices, { target }, now);
+        const std::optional<Milliseconds> untilSend =
+            limits::timeUntilSend(m_rates, target->entry, rateSharing(), now);
+        if (!returns || !untilSend)
+            continue;
+        const Milliseconds time = std::max(*returns, *untilSend);
+        earliest = std::min(earliest.value_or(time), time);
+    }
+    return earliest;
 }
 
 void TargetPool::probe(const fleet::TargetEntry &target,
                        std::function<void(limits::TargetState)> done)
 {
-    if (limits::isTurnedAway(m_notices, target, m_reactor.now())) {
+    if (turnsAway(target) || (isLimited(target) && !tryAcquireSend(target.id))) {
         m_reactor.defer([done = std::move(done)] { done(limits::TargetState::Busy); });
         return;
     }
--- a/apps/node/target_pool.h
+++ b/apps/node/target_pool.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include <egretmount/core/clock.h>
 #include <egretmount/fleet/target_table.h>
 #include <egretmount/limits/target_notices.h>
+#include <egretmount/limits/target_rates.h>
 #include <egretmount/placement/load_tracker.h>
 
 #include "kernel/service.h"
@@ -19,6 +21,7 @@
 #include "net/tcp_stream.h"
 #include "platform/messages.h"
 #include "platform/orders.h"
+#include "target_limit_news.h"
 
 namespace egretmount::node {
 
@@ -93,14 +96,38 @@
     /// @param startedAt Start stamp of the incarnation that leaves.
     void recordLeavingFromPeer(placement::EngineKey target, std::int64_t startedAt);
 
-    /// @brief Returns whether the target's responses allow to send it new work.
+    /// @brief Records a rate limit, or its end, that another instance has heard of.
+    void recordLimitFromPeer(const TargetLimitNews &news);
+
+    /// @brief Returns the rate limits that are in force.
+    std::vector<TargetLimitNews> limitsInForce() const;
+
+    /// @brief Returns whether the target's responses allow to send it new work now.
     bool acceptsWork(const fleet::TargetEntry &target) const;
 
+    /// @brief Returns whether the target wants no requests of this instance for a time.
+    bool turnsAway(const fleet::TargetEntry &target) const;
+
+    /// @brief Returns whether the target has named a rate limit.
+    bool isLimited(const fleet::TargetEntry &target) const;
+
+    /// @brief Takes one request from this instance's share of the target's rate limit, if it has
+    ///        named one.
+    /// @return False if the share is used up.
+    bool tryAcquireSend(const TargetId &target);
+
+    /// @brief Counts a call to a target that cannot be put off against its rate limit.
+    void recordCall(const fleet::TargetEntry &target);
+
     /// @brief Returns whether new work may be sent to a target, by its responses and its entry.
     bool mayReceive(const TargetId &target) const;
 
-    /// @brief Returns whether any target has sent notice that it accepts no work.
-    bool hasNotices() const { return !m_notices.byTarget.empty(); }
+    /// @brief Returns whether a target may prefill a shard of another target's prompt. One with a
+    ///        rate limit may not: the shard would come beside the requests that are counted.
+    bool mayHelp(const TargetId &target) const;
+
+    /// @brief Returns whether any target has sent notice that it accepts no work, or not all.
+    bool hasNotices() const { return !m_notices.byTarget.empty() || !m_rates.byTarget.empty(); }
 
     /// @brief Returns how long it takes until one of the targets accepts work again.
     /// @param targets Targets that only their responses keep from being used.
@@ -110,8 +137,8 @@
 
     /// @brief Asks a target for its load report to find out whether it still works on requests.
     ///
-    /// Calls for the same target that overlap share one request. A target that turns requests away
-    /// is not called, and counts as busy.
+    /// Calls for the same target that overlap share one request. A target that turns requests away,
+    /// or is at its rate limit, is not called and counts as busy.
     /// @param done Called once, not before this function returns.
     void probe(const fleet::TargetEntry &target, std::function<void(limits::TargetState)> done);
 
@@ -128,6 +155,10 @@
     void recordLeaving(const fleet::TargetEntry &target, std::int64_t startedAt);
     void recordTurnedAway(const fleet::TargetEntry &target, std::int64_t startedAt,
                           std::optional<double> statedSeconds);
+    void recordLimit(const fleet::TargetEntry &target, std::int64_t startedAt,
+                     const platform::ResponseFields &response);
+    void announceLimit(const fleet::TargetEntry &target);
+    limits::RateSharing rateSharing() const;
     void onProbeEnded(placement::EngineKey target, limits::TargetState state);
 
     /// @brief Returns the entry of the target that sent a response, or nothing if it is unknown.
@@ -148,6 +179,9 @@
     std::unordered_map<placement::EngineKey, TargetHealth> m_health;
     std::unordered_map<placement::EngineKey, Probe> m_probes;
     limits::TargetNotices m_notices;
+    limits::TargetRates m_rates;
+    std::map<TargetId, Milliseconds> m_limitsAnnouncedAt;
+    InstanceId m_self;
 };
 
 } // namespace egretmount::node
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -255,3 +255,23 @@
     CHECK_FALSE(platform::parseSettings("[]").has_value());
     CHECK_FALSE(platform::readSettings("/nonexistent").has_value());
 }
+
+TEST_CASE("a limit that a target names is a decimal number")
+{
+    const auto fieldsWith = [](const std::string &value) {
+        http::ResponseHead head;
+        head.status = 200;
+        head.fields = { { "Server-Limit", value } };
+        return platform::readResponseFields(head);
+    };
+    CHECK(fieldsWith("1.5").requestsPerSecond == 1.5);
+    CHECK(fieldsWith("0").requestsPerSecond == 0);
+    for (const char *malformed : { "", "-1", "1e3", "nan", "1.5.2", "1.5 2", "soon" }) {
+        CAPTURE(malformed);
+        CHECK(fieldsWith(malformed).isLimited);
+        CHECK_FALSE(fieldsWith(malformed).requestsPerSecond.has_value());
+    }
+    CHECK(fieldsWith(std::string(400, '9')).requestsPerSecond
+          == std::numeric_limits<double>::infinity());
+    CHECK_FALSE(platform::readResponseFields({}).isLimited);
+}
