Bound what a response without end may take of an instance

Twenty responses without end made an instance grow by 350 to 560 MB in 2.5 s; the smallest instances have 160 MB, and each caller's request on one ends with it.

Cause: a target was read as fast as it sent, whatever its caller took, and interim responses, trailers, discarded responses, single events and bodies had no bound. Class of fault: a peer decides how much memory this side uses.

Now a target is read no further while its caller has 256 kB still to receive; interim responses (64 kB, without recursion), trailers (16 kB), events (256 kB), discarded responses (1 MB) and bodies without a stated length (64 MB) have bounds, past which the send fails. A paused target does not count as silent.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -27,6 +27,9 @@
 // Retry-After for a request that was not executed: another target may have capacity immediately.
 constexpr Milliseconds notRunRetryAfter = Milliseconds(250);
 
+// A caller that still reads a response after the deadline drains some of it within this time.
+constexpr Milliseconds deliveryCheckInterval = Milliseconds(1'000);
+
 double toSeconds(Milliseconds time)
 {
     return static_cast<double>(time.count()) / 1'000;
@@ -93,12 +96,17 @@
     m_deadline = m_arrivedAt + timeout;
     m_services.ingress.recordRequest(m_service->id);
     m_services.prompts.recordPrompt(m_route->name, m_caller.sharedParts);
+    startDeadlineTimer(timeLeft());
+    send();
+}
+
+void Exchange::startDeadlineTimer(Milliseconds delay)
+{
     const std::weak_ptr<Exchange> weak = weak_from_this();
-    m_deadlineTimer = m_services.reactor.after(timeLeft(), [weak] {
+    m_deadlineTimer = m_services.reactor.after(delay, [weak] {
         if (const std::shared_ptr<Exchange> self = weak.lock())
             self->onDeadline();
     });
-    send();
 }
 
 bool Exchange::validateRequest()
@@ -384,6 +392,14 @@
     m_deadlineTimer = 0;
     if (m_isOver)
         return;
+    // A whole response is not cut off because its caller still reads it.
+    const bool isDelivering = m_history.isResponseStarted && !m_isEventStream && m_hasAwaitedCaller
+                              && m_send.framing() == http::Framing::Length;
+    m_hasAwaitedCaller = false;
+    if (isDelivering) {
+        startDeadlineTimer(deliveryCheckInterval);
+        return;
+    }
     const std::shared_ptr<Exchange> self = shared_from_this();
     failRequest("time-up", notRunRetryAfter, 504);
 }
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -118,6 +118,7 @@
     void onStalledTargetProbed(limits::TargetState state);
     bool isTargetStalled() const;
     void onCallerGone();
+    void startDeadlineTimer(Milliseconds delay);
     void onDeadline();
 
     /// @brief Cancels the timers of the current send and releases its queue entry, its memory
@@ -131,6 +132,9 @@
     /// @brief Passes the complete events on. Returns false if they do not continue the stream.
     bool forwardEvents(const std::string &bytes);
 
+    /// @brief Stops reading the response while the caller has too much of it still to receive.
+    void awaitCaller();
+
     void forwardFallback();
 
     /// @brief Ends the request with the most accurate final response that is still possible.
@@ -189,6 +193,7 @@
     double m_randomValue = 0;
     bool m_isAdmitted = false; ///< The request was placed at least once.
     bool m_awaitsConfiguration = false;
+    bool m_hasAwaitedCaller = false; ///< Since the deadline was last checked.
     bool m_isDecoding = false;
     Milliseconds m_decodingSince; ///< First event of the current send.
     int m_decodedEvents = 0; ///< Deliveries with events in the current send.
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -17,8 +17,8 @@
 // Responses without events are buffered up to this size, so that the request can be retried if the
 // connection breaks; larger responses are streamed to the caller.
 constexpr std::size_t maxBuffered = 256UL * 1024;
-// The response is aborted if the caller reads so slowly that more than this is unsent.
-constexpr std::size_t maxUnsent = 2UL * 1024 * 1024;
+// The target is read no further while the caller has so much still to receive.
+constexpr std::size_t maxUnsent = 256UL * 1024;
 // An engine that a prompt crashes writes few events on it, if any.
 constexpr int minProvenEvents = 4;
 constexpr Milliseconds minProvenTime = Milliseconds(600);
@@ -61,14 +61,31 @@
     }
     m_connection->sendChunk(m_buffer);
     m_buffer.clear();
+    awaitCaller();
     return true;
 }
 
+void Exchange::awaitCaller()
+{
+    if (m_connection->unsent() <= maxUnsent)
+        return;
+    m_hasAwaitedCaller = true;
+    m_send.pauseInput(true);
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    m_connection->onDrain([weak] {
+        const std::shared_ptr<Exchange> self = weak.lock();
+        if (!self || self->m_isOver || !self->m_send.isPaused())
+            return;
+        self->m_lastEventAt = self->m_services.reactor.now(); // the target was not silent
+        self->m_send.pauseInput(false);
+    });
+}
+
 bool Exchange::forwardEvents(const std::string &bytes)
 {
     const std::string events = http::extractEvents(m_scanner, bytes);
     if (events.empty())
-        return !m_scanner.isOutOfOrder;
+        return !m_scanner.isOutOfOrder && !m_scanner.isTooLong;
     const Milliseconds now = m_services.reactor.now();
     if (m_history.isResponseStarted)
         m_longestEventGap = std::max(m_longestEventGap, now - m_lastForwardedAt);
@@ -91,9 +108,8 @@
         recordProof();
     m_history.canResume = http::canResume(m_scanner);
     m_connection->sendChunk(events);
-    if (m_connection->unsent() > maxUnsent)
-        abortResponse("caller-too-slow");
-    return !m_scanner.isOutOfOrder;
+    awaitCaller();
+    return !m_scanner.isOutOfOrder && !m_scanner.isTooLong;
 }
 
 bool Exchange::isPromptProven() const
@@ -145,7 +161,8 @@
     } else {
         m_services.targets.recordSuccess(key);
     }
-    if (m_isEventStream && m_decodedEvents > 0 && !m_isProofRecorded)
+    const bool hasOutput = !m_isEventStream || m_decodedEvents > 0;
+    if (m_responseHead.status < 300 && hasOutput && !m_isProofRecorded)
         recordProof();
     if (m_history.isResponseStarted) {
         m_connection->endResponse();
--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -79,7 +79,7 @@
 {
     if (m_isOver)
         return;
-    if (!canMigrate() || !isTargetStalled()) {
+    if (m_send.isPaused() || !canMigrate() || !isTargetStalled()) {
         scheduleStallCheck();
         return;
     }
@@ -141,7 +141,8 @@
 void Exchange::migrate()
 {
     // Prompts that hold memory at helper engines are not migrated: their callers expect long waits.
-    if (m_isOver || m_placement.entryId == 0 || m_reservations || !canMigrate())
+    if (m_isOver || m_placement.entryId == 0 || m_reservations || m_send.isPaused()
+        || !canMigrate())
         return;
     const Milliseconds now = m_services.reactor.now();
     placement::StalledStream stream;
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -19,6 +19,12 @@
 // Time for a target at its connection limit to end other connections.
 constexpr Milliseconds endCheckInterval = Milliseconds(50);
 constexpr std::size_t maxHeadBytes = 64UL * 1024;
+// Total of the interim responses (1xx) before a response.
+constexpr std::size_t maxInterimBytes = 64UL * 1024;
+// Bodies of unrelated responses that are read to reach the response behind them.
+constexpr std::size_t maxDiscardedBytes = 1024UL * 1024;
+// Of a body whose length is not stated. No service sends nearly as much; what does, does not end.
+constexpr std::size_t maxUnstatedBodyBytes = 64UL * 1024 * 1024;
 
 } // namespace
 
@@ -45,7 +51,8 @@
     m_startedAt = std::max(target.startedAt, m_pool.health(keyOf(target.id)).startedAt);
     m_reader = {};
     m_end.reset();
-    m_isSent = m_hasHead = m_isUnrelated = m_isOver = false;
+    m_isSent = m_hasHead = m_isUnrelated = m_isOver = m_isPaused = false;
+    m_interimBytes = m_discardedBytes = m_bodyBytes = 0;
     ++m_pool.health(keyOf(target.id)).inFlight;
     m_connection = m_pool.acquire(target, needsNewConnection, this);
     if (m_connection.isReused) {
@@ -76,6 +83,14 @@
         release(false);
 }
 
+void TargetSend::pauseInput(bool isPaused)
+{
+    if (m_isOver || m_isPaused == isPaused || !m_connection.stream)
+        return;
+    m_isPaused = isPaused;
+    m_connection.stream->pauseInput(isPaused);
+}
+
 void TargetSend::onConnected()
 {
     m_reactor.cancel(m_connectTimer);
@@ -97,8 +112,12 @@
     m_pool.health(keyOf(m_target.id)).lastReceivedAt = m_reactor.now();
     const std::shared_ptr<bool> isAlive = m_isAlive;
     while (*isAlive && !m_isOver) {
-        if (!m_hasHead && !readHead())
+        const std::size_t interimBytes = m_interimBytes;
+        if (!m_hasHead && !readHead()) {
+            if (*isAlive && !m_isOver && m_interimBytes > interimBytes)
+                continue; // another response follows the interim one
             return;
+        }
         if (!*isAlive || m_isOver)
             return;
         readBody();
@@ -127,8 +146,12 @@
         return false;
     }
     input.erase(0, end + 4);
-    if (head->status < 200)
-        return !input.empty() && readHead();
+    if (head->status < 200) {
+        m_interimBytes += end + 4;
+        if (m_interimBytes > maxInterimBytes)
+            fail(limits::SendFailure::Broken);
+        return false;
+    }
     m_head = std::move(*head);
     m_fields = platform::readResponseFields(m_head);
     m_pool.recordNotices(m_target, m_fields);
@@ -173,12 +196,20 @@
     std::string bytes;
     const http::BodyState state = http::readBody(m_reader, m_connection.stream->input(), bytes);
     if (m_isUnrelated) {
-        if (state == http::BodyState::Malformed)
+        m_discardedBytes += bytes.size();
+        if (state == http::BodyState::Malformed || m_discardedBytes > maxDiscardedBytes)
             fail(limits::SendFailure::Broken);
         else if (state == http::BodyState::Complete)
             m_hasHead = false; // the response to this request follows
         return;
     }
+    m_bodyBytes += bytes.size();
+    if (m_reader.framing.framing != http::Framing::Length && m_bodyBytes > maxUnstatedBodyBytes) {
+        LOG(WARNING) << "targets: response without end target=" << m_target.id.value
+                     << " id=" << m_requestId << " bytes=" << m_bodyBytes;
+        fail(limits::SendFailure::Broken);
+        return;
+    }
     const std::shared_ptr<bool> isAlive = m_isAlive;
     const bool isUsable = bytes.empty() || m_listener.onResponseBytes(std::move(bytes));
     if (!*isAlive || m_isOver)
@@ -281,6 +312,7 @@
     m_connection.stream.reset();
     if (!stream)
         return;
+    stream->pauseInput(false);
     if (mayReuse)
         m_pool.release(m_target.id, stream, m_fields.keepAliveTimeout);
     else
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -68,6 +68,10 @@
     ///        not called again.
     void cancel();
 
+    /// @brief Stops or resumes reading the response, which the target notices as backpressure.
+    void pauseInput(bool isPaused);
+
+    bool isPaused() const { return m_isPaused; }
     const fleet::TargetEntry &target() const { return m_target; }
     bool isReused() const { return m_connection.isReused; }
 
@@ -128,6 +132,10 @@
     http::BodyReader m_reader;
     std::optional<net::StreamEnd> m_end;
     std::shared_ptr<net::HttpClient> m_endCheck; ///< Null unless an end is being confirmed.
+    std::size_t m_interimBytes = 0;
+    std::size_t m_discardedBytes = 0; ///< Of unrelated responses.
+    std::size_t m_bodyBytes = 0;
+    bool m_isPaused = false;
     bool m_isSent = false;
     bool m_hasHead = false;
     bool m_isUnrelated = false; ///< The current response belongs to another request.
--- a/include/egretmount/http/body.h
+++ b/include/egretmount/http/body.h
@@ -23,6 +23,7 @@
     std::uint64_t remainingBytes = 0; ///< Bytes still to read of the body or of the current chunk.
     bool expectsChunkSize = true; ///< The next line starts a chunk with its size.
     bool isInTrailer = false; ///< The last chunk has been read; trailer fields may follow.
+    std::size_t trailerBytes = 0; ///< Received so far.
     bool expectsChunkEnd = false; ///< The chunk's data has been read; CRLF must follow.
     BodyState state = BodyState::Reading;
 };
--- a/include/egretmount/http/event_scanner.h
+++ b/include/egretmount/http/event_scanner.h
@@ -15,8 +15,12 @@
     bool isResumed = false; ///< The bytes are those of a response that resumes the stream.
     bool hasContinued = false; ///< That response has had an event.
     bool isOutOfOrder = false; ///< An event of that response does not follow `lastId`.
+    bool isTooLong = false; ///< An event is longer than `maxEventBytes`.
 };
 
+/// @brief Greatest length of one event, many times that of the longest which engines send.
+constexpr std::size_t maxEventBytes = 256UL * 1024;
+
 /// @brief Returns whether the stream can be resumed after the events so far: there are none, or the
 ///        id of the last one is a number. Other ids have no known order.
 bool canResume(const EventScanner &scanner);
@@ -27,9 +31,10 @@
 
 /// @brief Appends bytes of the body. @return The events that are now complete, byte for byte.
 ///
-/// An event that the sender does not finish stays in `partial`, so callers never see an incomplete
-/// event. In a response that resumes the stream, ids must increase: the first event whose id does
-/// not sets `isOutOfOrder`, and neither it nor anything after it is returned.
+/// After an event that is too long, nothing more is returned. One that the sender does not finish
+/// stays in `partial`, so callers never see an incomplete event. In a response that resumes the
+/// stream, ids must increase: the first event whose id does not sets `isOutOfOrder`, and neither it
+/// nor anything after it is returned.
 /// @complexity Linear in the length of `bytes`, amortized over the calls for one stream.
 std::string extractEvents(EventScanner &scanner, std::string_view bytes);
 
--- a/src/daemon/net/server_connection.cpp
+++ b/src/daemon/net/server_connection.cpp
@@ -230,6 +230,7 @@
         return;
     m_phase = Phase::Closed;
     m_disconnectListener = nullptr;
+    m_drainListener = nullptr;
     m_reactor.cancel(m_timer);
     // A chunked response without its last chunk is recognizably truncated.
     if (m_isChunked)
@@ -242,6 +243,7 @@
 void ServerConnection::finishResponse()
 {
     m_disconnectListener = nullptr;
+    m_drainListener = nullptr;
     if (!m_keepsAlive) {
         m_phase = Phase::Closed;
         m_reactor.cancel(m_timer);
@@ -268,6 +270,19 @@
     m_reactor.defer([self = std::move(m_self)] {});
 }
 
+void ServerConnection::onDrained()
+{
+    if (!m_drainListener || m_phase != Phase::Responding)
+        return;
+    // Deferred because bytes may be sent, and so drained, within a callback of the listener's
+    // owner.
+    m_reactor.defer([weak = weak_from_this()] {
+        const std::shared_ptr<ServerConnection> self = weak.lock();
+        if (self && self->m_drainListener && self->unsent() == 0)
+            self->m_drainListener();
+    });
+}
+
 void ServerConnection::onEnd(StreamEnd)
 {
     if (m_phase == Phase::Closed)
@@ -277,6 +292,7 @@
     const std::shared_ptr<ServerConnection> self = std::move(m_self);
     const std::function<void()> listener = std::move(m_disconnectListener);
     m_disconnectListener = nullptr;
+    m_drainListener = nullptr;
     if (listener)
         listener();
     m_reactor.defer([self] {});
--- a/src/daemon/net/server_connection.h
+++ b/src/daemon/net/server_connection.h
@@ -61,6 +61,11 @@
         m_disconnectListener = std::move(listener);
     }
 
+    /// @brief Sets the listener that is called when the kernel has accepted all bytes of the
+    /// current
+    ///        response that were sent so far.
+    void onDrain(std::function<void()> listener) { m_drainListener = std::move(listener); }
+
     /// @brief Sends a complete response.
     /// @param fields Header fields, each with its CRLF, without the framing fields.
     void respond(int status, std::string_view reason, std::string_view fields,
@@ -94,6 +99,7 @@
 
     void onBytes() override;
     void onEnd(StreamEnd end) override;
+    void onDrained() override;
 
     void read();
     bool readHead();
@@ -109,6 +115,7 @@
     std::shared_ptr<TcpStream> m_stream;
     std::shared_ptr<ServerConnection> m_self; ///< Keeps this object alive until it closes.
     std::function<void()> m_disconnectListener;
+    std::function<void()> m_drainListener;
     Phase m_phase = Phase::Idle;
     fleet::CallerLimits m_limits;
     http::RequestHead m_head;
--- a/src/http/body.cpp
+++ b/src/http/body.cpp
@@ -10,6 +10,8 @@
 
 // Chunk extensions are not used, so a longer line is malformed.
 constexpr std::size_t maxChunkLineBytes = 1024;
+// Trailer fields are not used.
+constexpr std::size_t maxTrailerBytes = 16UL * 1024;
 // Prevents overflow in sums of sizes.
 constexpr std::uint64_t maxChunkBytes = std::uint64_t(1) << 40;
 
@@ -60,8 +62,11 @@
         if (reader.isInTrailer) {
             if (!extractLine(reader, input, position, line))
                 break;
+            reader.trailerBytes += line.size();
             if (line.empty())
                 reader.state = BodyState::Complete;
+            else if (reader.trailerBytes > maxTrailerBytes)
+                markMalformed(reader);
         } else if (reader.expectsChunkEnd) {
             if (input.size() - position < 2)
                 break;
--- a/src/http/event_scanner.cpp
+++ b/src/http/event_scanner.cpp
@@ -98,11 +98,12 @@
     scanner.isResumed = scanner.hasEvents;
     scanner.hasContinued = false;
     scanner.isOutOfOrder = false;
+    scanner.isTooLong = false;
 }
 
 std::string extractEvents(EventScanner &scanner, std::string_view bytes)
 {
-    if (scanner.isOutOfOrder)
+    if (scanner.isOutOfOrder || scanner.isTooLong)
         return {};
     // The earlier bytes contain no end of an event, but may end with two of its three bytes.
     const std::size_t searched =
@@ -118,6 +119,9 @@
     }
     std::string complete = scanner.partial.substr(0, extracted);
     scanner.partial.erase(0, extracted);
+    scanner.isTooLong = scanner.partial.size() > maxEventBytes;
+    if (scanner.isTooLong)
+        scanner.partial.clear();
     return complete;
 }
 
