--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -86,9 +86,8 @@
     void reserveAndSend(const Placement &placement);
     void sendTo(const Placement &placement);
 
-    /// @brief Returns whether the prompt may still be sent, and the target and the helper engines
-    /// of
-    ///        the placement still accept work.
+    /// @brief Returns whether the prompt may still be sent, and whether the target and the helper
+    ///        engines of the placement still accept work.
     bool isPlacementUsable() const;
 
     /// @brief Asks for another placement, as the present one has meanwhile become unusable.
--- a/apps/node/memory_reservations.cpp
+++ b/apps/node/memory_reservations.cpp
@@ -28,8 +28,10 @@
     , m_reservations(std::move(reservations))
     , m_releaseAttempts(m_reservations.size())
 {
-    for (const MemoryReservation &reservation : m_reservations)
+    for (const MemoryReservation &reservation : m_reservations) {
         m_callers.push_back(std::make_unique<net::HttpClient>(reactor, reservation.target.address));
+        m_callers.back()->setMaxBody(maxReportBytes);
+    }
 }
 
 void MemoryReservations::reserve(Done done)
--- a/apps/node/peer_messages.cpp
+++ b/apps/node/peer_messages.cpp
@@ -47,14 +47,14 @@
         static_cast<std::uint32_t>(std::max<std::int64_t>((queued.expiresAt - now).count(), 0)));
 }
 
+} // namespace
+
 std::uint32_t durationField(Milliseconds duration)
 {
     constexpr std::int64_t greatest = std::numeric_limits<std::uint32_t>::max();
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, greatest));
 }
 
-} // namespace
-
 // The packed encoding removes zero bytes, which are frequent in these messages; traffic between
 // availability zones is paid for by the byte.
 std::string serializePacked(capnp::MallocMessageBuilder &builder)
--- a/apps/node/peer_messages.h
+++ b/apps/node/peer_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,10 @@
 /// @brief Serializes a message in the packed encoding, as the payload of one datagram.
 std::string serializePacked(capnp::MallocMessageBuilder &builder);
 
+/// @brief Returns a duration in milliseconds as a message field; too short or long ones are
+/// clamped.
+std::uint32_t durationField(Milliseconds duration);
+
 /// @brief Writes the member records of a membership message.
 void writeMembers(wire::PeerMessage::Builder message,
                   const std::vector<membership::MemberRecord> &records);
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <limits>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -46,12 +45,6 @@
 // How long the other instances avoid a target that does not respond to this one.
 constexpr Milliseconds ejectionDuration = Milliseconds(1'000);
 
-std::uint32_t durationField(Milliseconds duration)
-{
-    constexpr std::int64_t greatest = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, greatest));
-}
-
 } // namespace
 
 /// @brief The datagram socket of the peer service.
--- a/apps/node/prompt_guard.cpp
+++ b/apps/node/prompt_guard.cpp
@@ -25,6 +25,9 @@
 // Snapshots repeat a crash for this long, for instances that have missed its announcement.
 constexpr Milliseconds crashRepeatTime = Milliseconds(30'000);
 constexpr std::size_t maxAnnounced = 10'000;
+// A snapshot is one datagram, which also holds the requests of the instance.
+constexpr std::size_t maxCrashesInSnapshot = 16;
+constexpr std::size_t maxPartsInSnapshot = 128;
 
 } // namespace
 
@@ -92,13 +95,17 @@
         return;
     const placement::EngineKey key = keyOf(target.id);
     CrashCheck &check = m_checks[key];
-    check.parts.insert(unproven.begin(), unproven.end());
+    for (const PromptPartId part : unproven) {
+        if (check.parts.size() < limits::maxPartsPerCrash)
+            check.parts.insert(part);
+    }
     if (check.client)
         return;
     check.target = target;
     check.startedAt = startedAt;
     check.askedAt = m_reactor.now();
     check.client = std::make_shared<net::HttpClient>(m_reactor, target.address);
+    check.client->setMaxBody(maxReportBytes);
     m_targets->recordCall(target);
     check.client->get(
         std::string(platform::reportPath()), crashCheckTimeout,
@@ -220,12 +227,17 @@
         if (now < block.until)
             news.blocked.push_back({ part, block });
     }
-    for (const limits::TargetCrash &crash : m_ownCrashes) {
+    std::size_t parts = 0;
+    for (auto crash = m_ownCrashes.rbegin(); crash != m_ownCrashes.rend(); ++crash) {
         const std::vector<PromptPartId> unproven = limits::unprovenParts(
-            m_suspects, std::vector<PromptPartId>(crash.parts.begin(), crash.parts.end()));
-        if (!unproven.empty() && now - crash.at < crashRepeatTime)
+            m_suspects, std::vector<PromptPartId>(crash->parts.begin(), crash->parts.end()));
+        parts += unproven.size();
+        if (now - crash->at >= crashRepeatTime || news.crashes.size() >= maxCrashesInSnapshot
+            || parts > maxPartsInSnapshot)
+            break;
+        if (!unproven.empty())
             news.crashes.push_back(
-                { crash.target, crash.at, { unproven.begin(), unproven.end() } });
+                { crash->target, crash->at, { unproven.begin(), unproven.end() } });
     }
     return news;
 }
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -396,6 +396,7 @@
     if (probe.client)
         return;
     probe.client = std::make_unique<net::HttpClient>(m_reactor, target.address);
+    probe.client->setMaxBody(maxReportBytes);
     probe.client->get(std::string(platform::reportPath()), probeTimeout,
                       [this, key, target](int status, const std::string &body) {
                           const limits::TargetState state = platform::targetStateOf(status, body);
--- a/apps/node/target_pool.h
+++ b/apps/node/target_pool.h
@@ -40,6 +40,9 @@
     Milliseconds ejectedUntil;
 };
 
+/// @brief Greatest length of a target's report, or of its response to an order.
+constexpr std::size_t maxReportBytes = 256UL * 1024;
+
 /// @brief A connection to a target for one request.
 struct TargetConnection
 {
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -244,6 +244,7 @@
 void TargetSend::confirmEnd(int checks)
 {
     m_endCheck = std::make_shared<net::HttpClient>(m_reactor, m_target.address);
+    m_endCheck->setMaxBody(maxReportBytes);
     m_pool.recordCall(m_target);
     m_endCheck->get(
         std::string(platform::reportPath()), endCheckTimeout,
--- a/include/egretmount/limits/prompt_suspects.h
+++ b/include/egretmount/limits/prompt_suspects.h
@@ -23,7 +23,7 @@
 ///
 /// One crash within as long a time after that blocks it again, for twice the time.
 constexpr Milliseconds promptBlockTime = Milliseconds(600'000);
-constexpr Milliseconds maxPromptBlockTime = Milliseconds(24 * 3'600'000);
+constexpr Milliseconds maxPromptBlockTime = Milliseconds(86'400'000);
 
 /// @brief How long a crash counts as evidence.
 constexpr Milliseconds crashMemory = Milliseconds(300'000);
--- a/src/daemon/net/http_client.cpp
+++ b/src/daemon/net/http_client.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::size_t maxHeadBytes = 64UL * 1024;
-// Several times the size of the largest page of a listing.
-constexpr std::size_t maxBodyBytes = 16UL * 1024 * 1024;
 
 } // namespace
 
@@ -104,7 +102,7 @@
         m_reader = http::makeBodyReader(*framing);
     }
     const http::BodyState state = http::readBody(m_reader, input, m_body);
-    if (state == http::BodyState::Malformed || m_body.size() > maxBodyBytes)
+    if (state == http::BodyState::Malformed || m_body.size() > m_maxBodyBytes)
         fail();
     else if (state == http::BodyState::Complete)
         finish(decodeBody() ? m_head.status : 0);
@@ -115,7 +113,7 @@
     if (m_accepted != BodyEncoding::Deflate
         || http::fieldValue(m_head.fields, "Content-Encoding") != "deflate")
         return true;
-    std::optional<std::string> body = inflate(m_body, maxBodyBytes);
+    std::optional<std::string> body = inflate(m_body, m_maxBodyBytes);
     if (body)
         m_body = std::move(*body);
     return body.has_value();
--- a/src/daemon/net/http_client.h
+++ b/src/daemon/net/http_client.h
@@ -42,6 +42,9 @@
     /// @brief Fails the request in progress, if any, and closes the connection.
     void cancel();
 
+    /// @brief Sets the greatest length of a response body; a request with a longer one fails.
+    void setMaxBody(std::size_t bytes) { m_maxBodyBytes = bytes; }
+
     /// @brief Returns the head of the response to the last request; its status is zero if no head
     ///        was received.
     const http::ResponseHead &responseHead() const { return m_head; }
@@ -63,6 +66,8 @@
     Reactor &m_reactor;
     std::string m_address;
     BodyEncoding m_accepted;
+    // Several times the size of the largest page of a listing.
+    std::size_t m_maxBodyBytes = 16UL * 1024 * 1024;
     std::shared_ptr<TcpStream> m_stream;
     std::string m_request;
     Done m_done;
--- a/tests/node/endless_response_test.cpp
+++ b/tests/node/endless_response_test.cpp
@@ -129,7 +129,7 @@
     long total = 0;
     long resident = 0;
     statm >> total >> resident;
-    return resident * sysconf(_SC_PAGESIZE) / (1'024 * 1'024);
+    return resident * sysconf(_SC_PAGESIZE) / (1'024L * 1'024);
 }
 
 /// @brief A caller that sends a request and reads, and discards, or reads nothing.
@@ -164,7 +164,7 @@
 private:
     void readAll()
     {
-        std::vector<char> buffer(256 * 1'024);
+        std::vector<char> buffer(256UL * 1'024);
         while (true) {
             const ssize_t count = recv(m_socket, buffer.data(), buffer.size(), 0);
             if (count <= 0)
@@ -195,7 +195,7 @@
 
 std::vector<EndlessCase> endlessCases()
 {
-    const std::string block(16 * 1'024, 'x');
+    const std::string block(16UL * 1'024, 'x');
     const std::string failed = "HTTP/1.1 500 Failed\r\nRequest-Id: %ID\r\n";
     std::string interim;
     for (int i = 0; i < 100; ++i)
--- a/tests/node/prompt_crash_test.cpp
+++ b/tests/node/prompt_crash_test.cpp
@@ -134,16 +134,17 @@
     for (int i = 0; monotonicNow() - start < duration; ++i) {
         restarts.update();
         const std::string number = std::to_string(i);
+        const std::string badId = std::string(prefix).append("b").append(number);
+        const std::string soundId = std::string(prefix).append("s").append(number);
         const Response bad =
-            cluster.nodes.sendRequest(i % instances, promptRequest(prefix + "b" + number, badPart));
+            cluster.nodes.sendRequest(i % instances, promptRequest(badId, badPart));
         if (bad.status == 503) {
             ++outcome.refused;
             outcome.slowestRefusal = std::max(outcome.slowestRefusal, bad.elapsed);
-            outcome.refusedButSent +=
-                cluster.standIn.arrivalsOf(prefix + "b" + number).empty() ? 0 : 1;
+            outcome.refusedButSent += cluster.standIn.arrivalsOf(badId).empty() ? 0 : 1;
         }
-        const Response sound = cluster.nodes.sendRequest(
-            (i + 1) % instances, promptRequest(prefix + "s" + number, "50000" + number));
+        const Response sound = cluster.nodes.sendRequest((i + 1) % instances,
+                                                         promptRequest(soundId, "50000" + number));
         if (monotonicNow() - start >= soundFrom) {
             ++outcome.sound;
             outcome.soundServed += sound.status == 200 && sound.isComplete ? 1 : 0;
--- a/tests/node/target_limit_test.cpp
+++ b/tests/node/target_limit_test.cpp
@@ -86,7 +86,9 @@
     std::atomic<int> sent = 0;
     std::atomic<int> served = 0;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 12; ++caller) {
+    constexpr int callersAtOnce = 12;
+    callers.reserve(callersAtOnce);
+    for (int caller = 0; caller < callersAtOnce; ++caller) {
         callers.emplace_back([&, caller] {
             const Milliseconds start = monotonicNow();
             for (int i = 0; monotonicNow() - start < duration; ++i) {
--- a/tests/parts/limits_prompt_suspects_test.cpp
+++ b/tests/parts/limits_prompt_suspects_test.cpp
@@ -68,7 +68,7 @@
     PromptSuspects suspects = usedState(0_ms);
     recordPrompt(suspects, route, { bad }, 0_ms);
     for (int report = 0; report < 10; ++report) {
-        const Milliseconds at = 1'000_ms + Milliseconds(report * 20);
+        const Milliseconds at = 1'000_ms + Milliseconds(std::int64_t(report) * 20);
         CHECK(recordCrash(suspects, 101, { bad }, at, at).empty());
     }
     CHECK(crashCount(suspects, bad) == 1);
@@ -146,9 +146,8 @@
     for (int i = 0; i < 60'000; ++i)
         recordPrompt(suspects, random(), { random(), random() }, Milliseconds(i));
     for (std::uint64_t target = 0; target < 2'000; ++target) {
-        std::vector<PromptPartId> parts;
-        for (int part = 0; part < 100; ++part)
-            parts.push_back(random());
+        std::vector<PromptPartId> parts(100);
+        std::generate(parts.begin(), parts.end(), [&random] { return random(); });
         recordCrash(suspects, target, parts, 60'000_ms, 60'000_ms);
     }
     for (int i = 0; i < 500; ++i)
--- a/tests/parts/limits_target_rates_test.cpp
+++ b/tests/parts/limits_target_rates_test.cpp
@@ -131,7 +131,7 @@
                         model.lists[i].erase(
                             std::find(model.lists[i].begin(), model.lists[i].end(), missing));
                 }
-                const Milliseconds now(step * 2'000);
+                const Milliseconds now(std::int64_t(step) * 2'000);
                 model.hear(restarted, now);
                 model.run(now, now + 2'000_ms);
             }
