--- a/apps/node/directory_service.cpp
+++ b/apps/node/directory_service.cpp
@@ -40,7 +40,7 @@
 }
 
 void DirectoryService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
-                                 http::RequestHead head, std::string)
+                                 http::RequestHead head, net::RequestBody)
 {
     if (platform::isDirectoryPath(head.target)) {
         connection->respond(200, http::reasonPhrase(200), "Content-Type: application/json\r\n",
--- a/apps/node/directory_service.h
+++ b/apps/node/directory_service.h
@@ -28,7 +28,7 @@
 
 private:
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
-                   std::string body) override;
+                   net::RequestBody body) override;
     std::string directoryResponse() const;
 
     net::Reactor &m_reactor;
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -5,14 +5,15 @@
 #include <glog/logging.h>
 
 #include <egretmount/core/hash.h>
+#include <egretmount/limits/request_content.h>
 #include <egretmount/limits/stall_detection.h>
 #include <egretmount/limits/target_notices.h>
 
 #include "fleet_service.h"
+#include "id_text.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
 #include "prompt_guard.h"
-#include "prompt_text.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -35,7 +36,7 @@
     return static_cast<double>(time.count()) / 1'000;
 }
 
-std::string joinIds(const std::vector<TargetId> &ids)
+std::string joinTargets(const std::vector<TargetId> &ids)
 {
     std::string text;
     for (const TargetId &id : ids)
@@ -47,11 +48,12 @@
 
 Exchange::Exchange(const ExchangeServices &services,
                    std::shared_ptr<net::ServerConnection> connection, http::RequestHead head,
-                   std::string body)
+                   net::RequestBody body)
     : m_services(services)
     , m_connection(std::move(connection))
     , m_requestHead(std::move(head))
-    , m_body(std::move(body))
+    , m_body(std::move(body.bytes))
+    , m_bodyDigest(body.digest)
     , m_caller(platform::readCallerFields(m_requestHead))
     , m_arrivedAt(services.reactor.now())
     , m_send(services.reactor, services.targets, *this)
@@ -126,6 +128,8 @@
         }
         m_team = team->id;
     }
+    m_contentId = limits::contentId(
+        { m_requestHead.method, host, m_requestHead.target, m_team.value, m_bodyDigest });
     if (m_caller.requestId.empty()) {
         respondWithError(400, "no-request-id");
         return false;
@@ -268,12 +272,13 @@
     m_buffer.clear();
     LOG(INFO) << "placement: sent id=" << m_caller.requestId
               << " target=" << placement.target.id.value
-              << " helpers=" << joinIds(placement.helpers)
+              << " helpers=" << joinTargets(placement.helpers)
               << " part_ms=" << placement.shardPrefillMs << " tokens=" << m_caller.promptTokens
               << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
               << " expected_ms=" << placement.expectedMs << " left_ms=" << fields.timeLeft.count()
               << " sends=" << m_history.sends << " config=" << m_configuration->version
-              << " parts=" << joinParts(m_caller.sharedParts);
+              << " content=" << joinIds(std::vector { m_contentId })
+              << " parts=" << joinIds(m_caller.sharedParts);
     const bool needsNewConnection =
         m_route->retrySemantics == fleet::RetrySemantics::AtMostOnce
         || (m_route->retrySemantics == fleet::RetrySemantics::Stream && !m_route->isResumable);
@@ -297,7 +302,7 @@
 {
     LOG(INFO) << "placement: request may not be sent any more, placed anew id="
               << m_caller.requestId << " target=" << m_placement.target.id.value
-              << " helpers=" << joinIds(m_placement.helpers);
+              << " helpers=" << joinTargets(m_placement.helpers);
     endSend();
     send();
 }
@@ -329,7 +334,7 @@
         m_services.targets.recordFailure(keyOf(m_placement.target.id),
                                          failure == SendFailure::NotSent);
         if (failure == SendFailure::Broken && m_send.hasEnded() && !isPromptProven())
-            m_services.prompts.onConnectionLost(m_placement.target, m_send.startedAt(),
+            m_services.prompts.onConnectionLost(m_placement.target, m_send.startedAt(), m_contentId,
                                                 m_caller.sharedParts);
     }
     m_failedTargets.insert(m_placement.target.id);
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -43,7 +43,7 @@
 {
 public:
     Exchange(const ExchangeServices &services, std::shared_ptr<net::ServerConnection> connection,
-             http::RequestHead head, std::string body);
+             http::RequestHead head, net::RequestBody body);
     ~Exchange() override;
 
     /// @brief Validates and forwards the request, or waits for the first configuration.
@@ -157,11 +157,13 @@
     std::shared_ptr<net::ServerConnection> m_connection;
     http::RequestHead m_requestHead;
     std::string m_body;
+    Digest m_bodyDigest;
     platform::CallerFields m_caller;
     std::shared_ptr<const fleet::Configuration> m_configuration;
     const fleet::Route *m_route = nullptr;
     const fleet::ServiceSpec *m_service = nullptr;
     TeamId m_team;
+    std::uint64_t m_contentId = 0; ///< Of the request, whatever its attempt and connection.
     Milliseconds m_arrivedAt;
     Milliseconds m_deadline;
     limits::SendHistory m_history;
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -128,7 +128,7 @@
 }
 
 void IngressService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
-                               http::RequestHead head, std::string body)
+                               http::RequestHead head, net::RequestBody body)
 {
     m_lastRequestAt = m_reactor.now();
     if (m_refusesNew) {
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -65,7 +65,7 @@
 
 private:
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
-                   std::string body) override;
+                   net::RequestBody body) override;
     fleet::CallerLimits limits() const override;
     bool isStopping() const override { return m_isStopping; }
 
--- a/apps/node/metrics_service.cpp
+++ b/apps/node/metrics_service.cpp
@@ -144,7 +144,7 @@
 }
 
 void MetricsService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
-                               http::RequestHead head, std::string)
+                               http::RequestHead head, net::RequestBody)
 {
     if (head.target == "/metrics")
         connection->respond(200, http::reasonPhrase(200),
--- a/apps/node/metrics_service.h
+++ b/apps/node/metrics_service.h
@@ -75,7 +75,7 @@
     using LatencyKey = std::pair<std::string, fleet::RetrySemantics>;
 
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
-                   std::string body) override;
+                   net::RequestBody body) override;
     std::string teamLabel(const TeamId &team);
 
     net::Reactor &m_reactor;
--- a/apps/node/prompt_guard.cpp
+++ b/apps/node/prompt_guard.cpp
@@ -8,11 +8,11 @@
 #include <egretmount/limits/response_end.h>
 
 #include "fleet_service.h"
+#include "id_text.h"
 #include "metrics_service.h"
 #include "peer_service.h"
 #include "platform/messages.h"
 #include "platform/orders.h"
-#include "prompt_text.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -77,7 +77,7 @@
         limits::recordSound(m_suspects, parts, m_reactor.now());
     if (cleared.empty())
         return;
-    LOG(INFO) << "prompts: parts cleared parts=" << joinParts(cleared) << " from=response";
+    LOG(INFO) << "prompts: parts cleared parts=" << joinIds(cleared) << " from=response";
     for (const PromptPartId part : cleared)
         m_announced.erase(part);
     PromptNews news;
@@ -86,19 +86,19 @@
 }
 
 void PromptGuard::onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
-                                   const std::vector<PromptPartId> &parts)
+                                   std::uint64_t contentId, const std::vector<PromptPartId> &parts)
 {
     if (m_targets->turnsAway(target))
         return;
     const std::vector<PromptPartId> unproven = limits::unprovenParts(m_suspects, parts);
-    if (unproven.empty())
-        return;
     const placement::EngineKey key = keyOf(target.id);
     CrashCheck &check = m_checks[key];
     for (const PromptPartId part : unproven) {
         if (check.parts.size() < limits::maxPartsPerCrash)
             check.parts.insert(part);
     }
+    if (check.contentIds.size() < limits::maxPartsPerCrash)
+        check.contentIds.insert(contentId);
     if (check.client)
         return;
     check.target = target;
@@ -132,8 +132,8 @@
               << " crashed=" << hasCrashed << " cut_off=" << isCutOff
               << " listening=" << report.isListening << " responded=" << report.hasResponded
               << " started_at=" << report.startedAt << " expected=" << check.startedAt
-              << " parts=" << joinParts(check.parts);
-    if (!hasCrashed)
+              << " contents=" << joinIds(check.contentIds) << " parts=" << joinIds(check.parts);
+    if (!hasCrashed || check.parts.empty())
         return;
     const limits::TargetCrash crash { key, check.askedAt, check.parts };
     m_ownCrashes.push_back(crash);
@@ -155,10 +155,10 @@
         limits::recordCrash(m_suspects, crash.target, parts, crash.at, now);
     if (m_suspects.crashes.size() != knownCrashes) {
         LOG(INFO) << "prompts: crash recorded target=" << crash.target << " from=" << host
-                  << " age_ms=" << (now - crash.at).count() << " parts=" << joinParts(parts);
+                  << " age_ms=" << (now - crash.at).count() << " parts=" << joinIds(parts);
     }
     for (const PromptPartId part : blocked) {
-        LOG(WARNING) << "prompts: part blocked part=" << joinParts(std::vector { part })
+        LOG(WARNING) << "prompts: part blocked part=" << joinIds(std::vector { part })
                      << " crashes=" << limits::crashCount(m_suspects, part)
                      << " last_target=" << crash.target << " from=" << host
                      << " for_ms=" << blockedFor({ part })->count();
@@ -184,7 +184,7 @@
     const Milliseconds now = m_reactor.now();
     const std::vector<PromptPartId> cleared = limits::recordSound(m_suspects, news.sound, now);
     if (!cleared.empty())
-        LOG(INFO) << "prompts: parts cleared parts=" << joinParts(cleared) << " from=" << host;
+        LOG(INFO) << "prompts: parts cleared parts=" << joinIds(cleared) << " from=" << host;
     withdraw(cleared);
     // Only to the sender, which passes it on once: many instances may know of the same part.
     PromptNews reply;
@@ -192,7 +192,7 @@
     for (const PromptNews::BlockedPart &blocked : news.blocked) {
         if (limits::recordBlock(m_suspects, blocked.part, blocked.block, now)) {
             hasNewBlock = true;
-            LOG(WARNING) << "prompts: part blocked part=" << joinParts(std::vector { blocked.part })
+            LOG(WARNING) << "prompts: part blocked part=" << joinIds(std::vector { blocked.part })
                          << " from=" << host << " age_ms=" << (now - blocked.block.from).count()
                          << " for_ms=" << (blocked.block.until - now).count();
         } else if (limits::isSound(m_suspects, blocked.part)) {
--- a/apps/node/prompt_guard.h
+++ b/apps/node/prompt_guard.h
@@ -51,10 +51,11 @@
 
     /// @brief Finds out whether a target has crashed that ended a connection within a response.
     /// @param startedAt Start stamp of the target when the request was sent.
+    /// @param contentId Of the request that broke off.
     /// @param parts Shared parts of a prompt on which the target had only just begun to write, or
     ///        not yet.
     void onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
-                          const std::vector<PromptPartId> &parts);
+                          std::uint64_t contentId, const std::vector<PromptPartId> &parts);
 
     /// @brief Registers a listener for parts that are blocked from now on.
     void onBlocked(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
@@ -74,6 +75,7 @@
         std::int64_t startedAt = 0;
         Milliseconds askedAt;
         std::set<PromptPartId> parts; ///< Of all requests that broke off at the target.
+        std::set<std::uint64_t> contentIds; ///< Of these requests.
     };
 
     void onChecked(placement::EngineKey key, int status, const std::string &body);
--- a/apps/node/registry_snapshots.cpp
+++ b/apps/node/registry_snapshots.cpp
@@ -87,7 +87,7 @@
 }
 
 void RegistrySnapshots::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
-                                  http::RequestHead head, std::string)
+                                  http::RequestHead head, net::RequestBody)
 {
     const std::optional<std::variant<platform::ContentsCall, platform::ChangesCall>> call =
         platform::readSnapshotCall(head.target);
--- a/apps/node/registry_snapshots.h
+++ b/apps/node/registry_snapshots.h
@@ -70,7 +70,7 @@
     const Response &responseTo(const std::optional<platform::RegistryVersion> &after);
 
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
-                   std::string body) override;
+                   net::RequestBody body) override;
 
     net::Reactor &m_reactor;
     kernel::ServiceRegistry &m_registry;
--- a/include/egretmount/core/digest.h
+++ b/include/egretmount/core/digest.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,26 @@
 /// @brief Computes the SHA-256 digest. @complexity Linear in the number of bytes.
 Digest sha256(std::string_view bytes);
 
+/// @brief Computes the SHA-256 digest of bytes that arrive in pieces.
+class DigestStream
+{
+public:
+    DigestStream();
+    ~DigestStream();
+    DigestStream(DigestStream &&other) noexcept;
+    DigestStream &operator=(DigestStream &&other) noexcept;
+
+    /// @complexity Linear in the number of bytes.
+    void add(std::string_view bytes);
+
+    /// @brief Returns the digest of all bytes since the last call, and starts anew.
+    Digest finish();
+
+private:
+    struct Context;
+    std::unique_ptr<Context> m_context; ///< Null as long as there are no bytes.
+};
+
 /// @brief Computes the HMAC-SHA-256 of bytes. @complexity Linear in the number of bytes.
 Digest hmacSha256(std::string_view key, std::string_view bytes);
 
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -17,6 +17,41 @@
 
 } // namespace
 
+struct DigestStream::Context
+{
+    EVP_MD_CTX *context = EVP_MD_CTX_new();
+
+    Context() { EVP_DigestInit_ex(context, EVP_sha256(), nullptr); }
+    Context(const Context &) = delete;
+    Context &operator=(const Context &) = delete;
+    ~Context() { EVP_MD_CTX_free(context); }
+};
+
+DigestStream::DigestStream() = default;
+DigestStream::~DigestStream() = default;
+DigestStream::DigestStream(DigestStream &&other) noexcept = default;
+DigestStream &DigestStream::operator=(DigestStream &&other) noexcept = default;
+
+void DigestStream::add(std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    if (!m_context)
+        m_context = std::make_unique<Context>();
+    EVP_DigestUpdate(m_context->context, bytes.data(), bytes.size());
+}
+
+Digest DigestStream::finish()
+{
+    if (!m_context)
+        return sha256({});
+    Digest digest {};
+    unsigned int length = 0;
+    EVP_DigestFinal_ex(m_context->context, digest.data(), &length);
+    m_context.reset();
+    return digest;
+}
+
 Digest sha256(std::string_view bytes)
 {
     Digest digest {};
--- a/src/daemon/net/server_connection.cpp
+++ b/src/daemon/net/server_connection.cpp
@@ -111,6 +111,7 @@
     }
     m_reader = http::makeBodyReader(*framing);
     m_body.clear();
+    m_bodyDigest = {};
     m_phase = Phase::Body;
     setTimer(bodyTimeout, 408);
     if (m_reader.state == http::BodyState::Reading
@@ -121,7 +122,9 @@
 
 bool ServerConnection::readBody()
 {
+    const std::size_t known = m_body.size();
     const http::BodyState state = http::readBody(m_reader, m_stream->input(), m_body);
+    m_bodyDigest.add(std::string_view(m_body).substr(known));
     if (m_body.size() > m_limits.bodyBytes) {
         refuse(413, "body-too-large");
         return false;
@@ -134,7 +137,8 @@
         return false;
     m_phase = Phase::Responding;
     m_reactor.cancel(m_timer);
-    m_handler.onRequest(shared_from_this(), std::move(m_head), std::move(m_body));
+    m_handler.onRequest(shared_from_this(), std::move(m_head),
+                        { std::move(m_body), m_bodyDigest.finish() });
     return true;
 }
 
--- a/src/daemon/net/server_connection.h
+++ b/src/daemon/net/server_connection.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include <egretmount/core/digest.h>
 #include <egretmount/fleet/configuration.h>
 #include <egretmount/http/body.h>
 #include <egretmount/http/head.h>
@@ -16,6 +17,13 @@
 
 class ServerConnection;
 
+/// @brief The body of a request.
+struct RequestBody
+{
+    std::string bytes;
+    Digest digest {}; ///< SHA-256 of the bytes.
+};
+
 /// @brief Handles the requests of all connections that one listening address accepts.
 class RequestHandler
 {
@@ -28,7 +36,7 @@
     /// @brief Called when a request has arrived completely. The handler sends exactly one response,
     ///        during the call or later.
     virtual void onRequest(const std::shared_ptr<ServerConnection> &connection,
-                           http::RequestHead head, std::string body) = 0;
+                           http::RequestHead head, RequestBody body) = 0;
 
     /// @brief Returns the current size and time limits for requests.
     virtual fleet::CallerLimits limits() const { return {}; }
@@ -121,6 +129,7 @@
     http::RequestHead m_head;
     http::BodyReader m_reader;
     std::string m_body;
+    DigestStream m_bodyDigest;
     TimerId m_timer = 0;
     bool m_keepsAlive = true;
     bool m_isChunked = true;
--- a/tests/node/support/standin.cpp
+++ b/tests/node/support/standin.cpp
@@ -434,7 +434,7 @@
     };
 
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
-                   std::string) override
+                   net::RequestBody) override
     {
         ++m_owner.m_storeCalls;
         if (head.target.find("/v1/kv-range") == 0)
