Test that requests which crash targets reach few targets, red

Three instances, three targets that end as soon as they run one request and are back 0.7 s later; the request comes again with new ids, deadlines and chunking. On the code as it is: 30 sends in 7 s, 16 of them later than 3 s after the third crash (three are allowed), for an idempotent, an at-most-once and a streaming route alike, and none of 68 sound requests served; a restarted instance sends it on; a repeat crashes a second target.

--- a/tests/node/prompt_crash_test.cpp
+++ b/tests/node/prompt_crash_test.cpp
@@ -1,12 +1,12 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "support/crashing_targets.h"
 #include "support/test_cluster.h"
 
 using namespace egretmount;
@@ -23,11 +23,6 @@
 // Time after which a crashed engine is back.
 constexpr Milliseconds restartTime = 600_ms;
 
-void sleepFor(Milliseconds time)
-{
-    usleep(static_cast<useconds_t>(time.count()) * 1'000);
-}
-
 const std::string badPart = "bad0001";
 
 CallerRequest promptRequest(const std::string &id, const std::string &middlePart,
@@ -61,57 +56,16 @@
     return script;
 }
 
-// Starts crashed engines again.
-class Restarts
-{
-public:
-    explicit Restarts(StandIn &standIn)
-        : m_standIn(standIn)
-    { }
-
-    void update()
-    {
-        const std::vector<Arrival> arrivals = m_standIn.arrivals();
-        for (; m_seen < arrivals.size(); ++m_seen) {
-            if (holdsBadPart(arrivals[m_seen]))
-                m_crashes[std::stoi(arrivals[m_seen].target.substr(2))] = arrivals[m_seen].at;
-        }
-        for (auto position = m_crashes.begin(); position != m_crashes.end();) {
-            if (monotonicNow() - position->second < restartTime) {
-                ++position;
-                continue;
-            }
-            m_standIn.restartTarget(position->first);
-            position = m_crashes.erase(position);
-        }
-    }
-
-private:
-    StandIn &m_standIn;
-    std::size_t m_seen = 0;
-    std::map<int, Milliseconds> m_crashes;
-};
-
 std::vector<Milliseconds> badArrivals(const StandIn &standIn)
 {
-    std::vector<Milliseconds> times;
-    for (const Arrival &arrival : standIn.arrivals()) {
-        if (holdsBadPart(arrival))
-            times.push_back(arrival.at);
-    }
-    std::sort(times.begin(), times.end());
-    return times;
+    return arrivalTimes(standIn, holdsBadPart);
 }
 
 // Number of requests with the bad part that reach engines later than `contactTime` after the fifth
 // crash.
 std::size_t lateBadArrivals(const StandIn &standIn)
 {
-    const std::vector<Milliseconds> times = badArrivals(standIn);
-    if (times.size() < 5)
-        return 0;
-    return static_cast<std::size_t>(std::count_if(
-        times.begin(), times.end(), [&](Milliseconds at) { return at > times[4] + contactTime; }));
+    return countLater(badArrivals(standIn), 4, contactTime);
 }
 
 struct Outcome
@@ -129,7 +83,7 @@
                      const std::string &prefix, Milliseconds soundFrom = Milliseconds())
 {
     Outcome outcome;
-    Restarts restarts(cluster.standIn);
+    Restarts restarts(cluster.standIn, holdsBadPart, restartTime);
     const Milliseconds start = monotonicNow();
     for (int i = 0; monotonicNow() - start < duration; ++i) {
         restarts.update();
@@ -240,7 +194,7 @@
         sleepFor(5_ms);
     }
     const Milliseconds start = monotonicNow();
-    Restarts restarts(cluster.standIn);
+    Restarts restarts(cluster.standIn, holdsBadPart, restartTime);
     for (int i = 0; i < 5; ++i) {
         cluster.nodes.sendRequest(0, promptRequest("short" + std::to_string(i), badPart));
         sleepFor(150_ms);
--- a/tests/node/support/standin.cpp
+++ b/tests/node/support/standin.cpp
@@ -86,7 +86,7 @@
 
     void breakOff()
     {
-        if (!m_script.isKilled) {
+        if (!m_script.isKilled && !m_script.crashes) {
             if (m_script.breaksWithFin)
                 endConnection();
             else
@@ -191,6 +191,8 @@
             return;
         } else if (m_script.sendsMalformedResponse) {
             m_stream->write("garbage that is no answer\r\n\r\n");
+        } else if (m_script.crashes) {
+            after(m_script.firstEventDelay, [this] { breakOff(); });
         } else if (m_script.events == 0 || m_script.status != 200) {
             after(m_script.firstEventDelay, [this] { respondPlain(); });
         } else {
--- a/tests/node/support/standin.h
+++ b/tests/node/support/standin.h
@@ -31,7 +31,8 @@
     /// Ends the connection with FIN instead of a reset, and closes the port: what the kernel does
     /// for a killed process whose sockets have no unread input.
     bool isKilled = false;
-    bool restartsAtOnce = false; ///< After `isKilled`: a new process listens at the same address.
+    bool crashes = false; ///< As `isKilled`, after `firstEventDelay` and before any response.
+    bool restartsAtOnce = false; ///< After a kill: a new process listens at the same address.
     bool omitsLength = false; ///< The body has neither length nor chunks.
     bool omitsEventIds = false;
     bool ignoresLastEventId = false; ///< A resumed stream starts with its first event.
