--- a/apps/node/prompt_guard.cpp
+++ b/apps/node/crash_guard.cpp
@@ -1,4 +1,4 @@
-#include "prompt_guard.h"
+#include "crash_guard.h"
 
 #include <algorithm>
 
@@ -27,27 +27,27 @@
 constexpr std::size_t maxAnnounced = 10'000;
 // A snapshot is one datagram, which also holds the requests of the instance.
 constexpr std::size_t maxCrashesInSnapshot = 16;
-constexpr std::size_t maxPartsInSnapshot = 128;
+constexpr std::size_t maxCausesInSnapshot = 128;
 
 } // namespace
 
-PromptGuard::PromptGuard(net::Reactor &reactor, kernel::ServiceRegistry &registry)
+CrashGuard::CrashGuard(net::Reactor &reactor, kernel::ServiceRegistry &registry)
     : m_reactor(reactor)
     , m_registry(registry)
 { }
 
-void PromptGuard::start()
+void CrashGuard::start()
 {
     m_targets = &m_registry.find<TargetPool>();
     m_peers = &m_registry.find<PeerService>();
     m_metrics = &m_registry.find<MetricsService>();
-    m_metrics->addGauge("blocked_prompt_parts",
-                        [this] { return static_cast<double>(m_suspects.blocked.size()); });
+    m_metrics->addGauge("blocked_causes",
+                        [this] { return static_cast<double>(m_causes.blocked.size()); });
     m_metrics->addGauge("suspected_target_crashes",
-                        [this] { return static_cast<double>(m_suspects.crashes.size()); });
+                        [this] { return static_cast<double>(m_causes.crashes.size()); });
     m_reactor.every(expirySweepInterval, [this] {
         const Milliseconds now = m_reactor.now();
-        limits::removeExpired(m_suspects, now);
+        limits::removeExpired(m_causes, now);
         while (!m_ownCrashes.empty() && now - m_ownCrashes.front().at >= crashRepeatTime)
             m_ownCrashes.pop_front();
         if (m_announced.size() > maxAnnounced)
@@ -55,50 +55,51 @@
     });
 }
 
-void PromptGuard::recordPrompt(const std::string &route, const std::vector<PromptPartId> &parts)
+void CrashGuard::recordRequest(const std::string &route, const std::vector<limits::Cause> &causes)
 {
-    if (!parts.empty())
-        limits::recordPrompt(m_suspects, stableHash(route), parts, m_reactor.now());
+    if (!causes.empty())
+        limits::recordRequest(m_causes, stableHash(route), causes, m_reactor.now());
 }
 
-std::optional<Milliseconds> PromptGuard::blockedFor(const std::vector<PromptPartId> &parts) const
+std::optional<Milliseconds> CrashGuard::blockedFor(const std::vector<limits::Cause> &causes) const
 {
-    return limits::blockedFor(m_suspects, parts, m_reactor.now());
+    return limits::blockedFor(m_causes, causes, m_reactor.now());
 }
 
-bool PromptGuard::isSuspected(const std::vector<PromptPartId> &parts) const
+bool CrashGuard::isSuspected(const std::vector<limits::Cause> &causes) const
 {
-    return limits::isSuspected(m_suspects, parts);
+    return limits::isSuspected(m_causes, causes);
 }
 
-void PromptGuard::recordSound(const std::vector<PromptPartId> &parts)
+void CrashGuard::recordSound(const std::vector<limits::Cause> &causes)
 {
-    const std::vector<PromptPartId> cleared =
-        limits::recordSound(m_suspects, parts, m_reactor.now());
+    const std::vector<limits::Cause> cleared =
+        limits::recordSound(m_causes, causes, m_reactor.now());
     if (cleared.empty())
         return;
-    LOG(INFO) << "prompts: parts cleared parts=" << joinIds(cleared) << " from=response";
-    for (const PromptPartId part : cleared)
-        m_announced.erase(part);
-    PromptNews news;
+    LOG(INFO) << "crashes: causes cleared causes=" << joinCauses(cleared) << " from=response";
+    for (const limits::Cause &cause : cleared)
+        m_announced.erase(cause);
+    CrashNews news;
     news.sound = cleared;
-    m_peers->broadcastPrompts(news);
+    m_peers->broadcastCrashNews(news);
 }
 
-void PromptGuard::onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
-                                   std::uint64_t contentId, const std::vector<PromptPartId> &parts)
+void CrashGuard::onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
+                                  const limits::Cause &request,
+                                  const std::vector<limits::Cause> &causes)
 {
     if (m_targets->turnsAway(target))
         return;
-    const std::vector<PromptPartId> unproven = limits::unprovenParts(m_suspects, parts);
+    const std::vector<limits::Cause> unproven = limits::unprovenCauses(m_causes, causes);
     const placement::EngineKey key = keyOf(target.id);
     CrashCheck &check = m_checks[key];
-    for (const PromptPartId part : unproven) {
-        if (check.parts.size() < limits::maxPartsPerCrash)
-            check.parts.insert(part);
+    for (const limits::Cause &cause : unproven) {
+        if (check.causes.size() < limits::maxCausesPerCrash)
+            check.causes.insert(cause);
     }
-    if (check.contentIds.size() < limits::maxPartsPerCrash)
-        check.contentIds.insert(contentId);
+    if (check.requests.size() < limits::maxCausesPerCrash)
+        check.requests.insert(request);
     if (check.client)
         return;
     check.target = target;
@@ -112,7 +113,7 @@
         [this, key](int status, const std::string &body) { onChecked(key, status, body); });
 }
 
-void PromptGuard::onChecked(placement::EngineKey key, int status, const std::string &body)
+void CrashGuard::onChecked(placement::EngineKey key, int status, const std::string &body)
 {
     const auto found = m_checks.find(key);
     const CrashCheck check = std::move(found->second);
@@ -128,40 +129,41 @@
     const bool isCutOff =
         !report.isListening && m_reactor.now() - check.askedAt >= crashCheckTimeout;
     const bool hasCrashed = !isCutOff && limits::hasRestartedOrEnded(report, check.startedAt);
-    LOG(INFO) << "prompts: connection lost target=" << check.target.id.value
+    LOG(INFO) << "crashes: connection lost target=" << check.target.id.value
               << " crashed=" << hasCrashed << " cut_off=" << isCutOff
               << " listening=" << report.isListening << " responded=" << report.hasResponded
               << " started_at=" << report.startedAt << " expected=" << check.startedAt
-              << " contents=" << joinIds(check.contentIds) << " parts=" << joinIds(check.parts);
-    if (!hasCrashed || check.parts.empty())
+              << " requests=" << joinCauses(check.requests)
+              << " causes=" << joinCauses(check.causes);
+    if (!hasCrashed || check.causes.empty())
         return;
-    const limits::TargetCrash crash { key, check.askedAt, check.parts };
+    const limits::TargetCrash crash { key, check.askedAt, check.causes };
     m_ownCrashes.push_back(crash);
     if (m_ownCrashes.size() > limits::maxTargetCrashes)
         m_ownCrashes.pop_front();
-    m_announced.insert(crash.parts.begin(), crash.parts.end());
-    PromptNews news;
+    m_announced.insert(crash.causes.begin(), crash.causes.end());
+    CrashNews news;
     news.crashes.push_back(crash);
-    m_peers->broadcastPrompts(news);
+    m_peers->broadcastCrashNews(news);
     applyCrash(crash, "self");
 }
 
-void PromptGuard::applyCrash(const limits::TargetCrash &crash, const std::string &host)
+void CrashGuard::applyCrash(const limits::TargetCrash &crash, const std::string &host)
 {
     const Milliseconds now = m_reactor.now();
-    const std::vector<PromptPartId> parts(crash.parts.begin(), crash.parts.end());
-    const std::size_t knownCrashes = m_suspects.crashes.size();
-    const std::vector<PromptPartId> blocked =
-        limits::recordCrash(m_suspects, crash.target, parts, crash.at, now);
-    if (m_suspects.crashes.size() != knownCrashes) {
-        LOG(INFO) << "prompts: crash recorded target=" << crash.target << " from=" << host
-                  << " age_ms=" << (now - crash.at).count() << " parts=" << joinIds(parts);
+    const std::vector<limits::Cause> causes(crash.causes.begin(), crash.causes.end());
+    const std::size_t knownCrashes = m_causes.crashes.size();
+    const std::vector<limits::Cause> blocked =
+        limits::recordCrash(m_causes, crash.target, causes, crash.at, now);
+    if (m_causes.crashes.size() != knownCrashes) {
+        LOG(INFO) << "crashes: crash recorded target=" << crash.target << " from=" << host
+                  << " age_ms=" << (now - crash.at).count() << " causes=" << joinCauses(causes);
     }
-    for (const PromptPartId part : blocked) {
-        LOG(WARNING) << "prompts: part blocked part=" << joinIds(std::vector { part })
-                     << " crashes=" << limits::crashCount(m_suspects, part)
+    for (const limits::Cause &cause : blocked) {
+        LOG(WARNING) << "crashes: cause blocked cause=" << causeText(cause)
+                     << " crashes=" << limits::crashCount(m_causes, cause)
                      << " last_target=" << crash.target << " from=" << host
-                     << " for_ms=" << blockedFor({ part })->count();
+                     << " for_ms=" << blockedFor({ cause })->count();
     }
     if (blocked.empty())
         return;
@@ -169,71 +171,71 @@
     notifyListeners();
 }
 
-void PromptGuard::announceBlocked(const std::vector<PromptPartId> &parts)
+void CrashGuard::announceBlocked(const std::vector<limits::Cause> &causes)
 {
-    PromptNews news;
-    for (const PromptPartId part : parts) {
-        m_announced.insert(part);
-        news.blocked.push_back({ part, m_suspects.blocked.at(part) });
+    CrashNews news;
+    for (const limits::Cause &cause : causes) {
+        m_announced.insert(cause);
+        news.blocked.push_back({ cause, m_causes.blocked.at(cause) });
     }
-    m_peers->broadcastPrompts(news);
+    m_peers->broadcastCrashNews(news);
 }
 
-void PromptGuard::applyRemote(const std::string &host, const PromptNews &news)
+void CrashGuard::applyRemote(const std::string &host, const CrashNews &news)
 {
     const Milliseconds now = m_reactor.now();
-    const std::vector<PromptPartId> cleared = limits::recordSound(m_suspects, news.sound, now);
+    const std::vector<limits::Cause> cleared = limits::recordSound(m_causes, news.sound, now);
     if (!cleared.empty())
-        LOG(INFO) << "prompts: parts cleared parts=" << joinIds(cleared) << " from=" << host;
+        LOG(INFO) << "crashes: causes cleared causes=" << joinCauses(cleared) << " from=" << host;
     withdraw(cleared);
-    // Only to the sender, which passes it on once: many instances may know of the same part.
-    PromptNews reply;
+    // Only to the sender, which passes it on once: many instances may know of the same cause.
+    CrashNews reply;
     bool hasNewBlock = false;
-    for (const PromptNews::BlockedPart &blocked : news.blocked) {
-        if (limits::recordBlock(m_suspects, blocked.part, blocked.block, now)) {
+    for (const CrashNews::BlockedCause &blocked : news.blocked) {
+        if (limits::recordBlock(m_causes, blocked.cause, blocked.block, now)) {
             hasNewBlock = true;
-            LOG(WARNING) << "prompts: part blocked part=" << joinIds(std::vector { blocked.part })
+            LOG(WARNING) << "crashes: cause blocked cause=" << causeText(blocked.cause)
                          << " from=" << host << " age_ms=" << (now - blocked.block.from).count()
                          << " for_ms=" << (blocked.block.until - now).count();
-        } else if (limits::isSound(m_suspects, blocked.part)) {
-            reply.sound.push_back(blocked.part);
+        } else if (limits::isSound(m_causes, blocked.cause)) {
+            reply.sound.push_back(blocked.cause);
         }
     }
     for (const limits::TargetCrash &crash : news.crashes) {
-        std::copy_if(crash.parts.begin(), crash.parts.end(), std::back_inserter(reply.sound),
-                     [&](PromptPartId part) { return limits::isSound(m_suspects, part); });
+        std::copy_if(crash.causes.begin(), crash.causes.end(), std::back_inserter(reply.sound),
+                     [&](const limits::Cause &cause) { return limits::isSound(m_causes, cause); });
         applyCrash(crash, host);
     }
     if (!reply.isEmpty())
-        m_peers->sendPrompts(host, reply);
+        m_peers->sendCrashNews(host, reply);
     if (hasNewBlock)
         notifyListeners();
 }
 
-void PromptGuard::withdraw(const std::vector<PromptPartId> &cleared)
+void CrashGuard::withdraw(const std::vector<limits::Cause> &cleared)
 {
-    PromptNews news;
+    CrashNews news;
     std::copy_if(cleared.begin(), cleared.end(), std::back_inserter(news.sound),
-                 [&](PromptPartId part) { return m_announced.erase(part) > 0; });
+                 [&](const limits::Cause &cause) { return m_announced.erase(cause) > 0; });
     if (!news.isEmpty())
-        m_peers->broadcastPrompts(news);
+        m_peers->broadcastCrashNews(news);
 }
 
-PromptNews PromptGuard::snapshot() const
+CrashNews CrashGuard::snapshot() const
 {
-    PromptNews news;
+    CrashNews news;
     const Milliseconds now = m_reactor.now();
-    for (const auto &[part, block] : m_suspects.blocked) {
+    for (const auto &[cause, block] : m_causes.blocked) {
         if (now < block.until)
-            news.blocked.push_back({ part, block });
+            news.blocked.push_back({ cause, block });
     }
-    std::size_t parts = 0;
+    std::size_t causes = 0;
     for (auto crash = m_ownCrashes.rbegin(); crash != m_ownCrashes.rend(); ++crash) {
-        const std::vector<PromptPartId> unproven = limits::unprovenParts(
-            m_suspects, std::vector<PromptPartId>(crash->parts.begin(), crash->parts.end()));
-        parts += unproven.size();
+        const std::vector<limits::Cause> unproven = limits::unprovenCauses(
+            m_causes, std::vector<limits::Cause>(crash->causes.begin(), crash->causes.end()));
+        causes += unproven.size();
         if (now - crash->at >= crashRepeatTime || news.crashes.size() >= maxCrashesInSnapshot
-            || parts > maxPartsInSnapshot)
+            || causes > maxCausesInSnapshot)
             break;
         if (!unproven.empty())
             news.crashes.push_back(
@@ -242,7 +244,7 @@
     return news;
 }
 
-void PromptGuard::notifyListeners() const
+void CrashGuard::notifyListeners() const
 {
     for (const std::function<void()> &listener : m_listeners)
         listener();
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -9,11 +9,11 @@
 #include <egretmount/limits/stall_detection.h>
 #include <egretmount/limits/target_notices.h>
 
+#include "crash_guard.h"
 #include "fleet_service.h"
 #include "id_text.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
-#include "prompt_guard.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -97,7 +97,7 @@
         timeout = std::min(timeout, *m_caller.deadline);
     m_deadline = m_arrivedAt + timeout;
     m_services.ingress.recordRequest(m_service->id);
-    m_services.prompts.recordPrompt(m_route->name, m_caller.sharedParts);
+    m_services.crashes.recordRequest(m_route->name, m_causes);
     startDeadlineTimer(timeLeft());
     send();
 }
@@ -128,8 +128,11 @@
         }
         m_team = team->id;
     }
-    m_contentId = limits::contentId(
-        { m_requestHead.method, host, m_requestHead.target, m_team.value, m_bodyDigest });
+    m_content = { limits::CauseKind::Request,
+                  limits::contentId({ m_requestHead.method, host, m_requestHead.target,
+                                      m_team.value, m_bodyDigest }) };
+    for (const PromptPartId part : m_caller.sharedParts)
+        m_causes.push_back({ limits::CauseKind::PromptPart, part });
     if (m_caller.requestId.empty()) {
         respondWithError(400, "no-request-id");
         return false;
@@ -144,9 +147,8 @@
 
 Decision Exchange::place()
 {
-    if (const std::optional<Milliseconds> blocked =
-            m_services.prompts.blockedFor(m_caller.sharedParts))
-        return Refusal { RefusalReason::PromptBlocked, *blocked };
+    if (const std::optional<Milliseconds> blocked = m_services.crashes.blockedFor(m_causes))
+        return Refusal { RefusalReason::CrashesTargets, *blocked };
     if (!m_service->engine || m_caller.promptTokens == 0)
         return m_services.placement.placePlain(*m_service, m_failedTargets);
     placement::Demand demand;
@@ -277,8 +279,7 @@
               << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
               << " expected_ms=" << placement.expectedMs << " left_ms=" << fields.timeLeft.count()
               << " sends=" << m_history.sends << " config=" << m_configuration->version
-              << " content=" << joinIds(std::vector { m_contentId })
-              << " parts=" << joinIds(m_caller.sharedParts);
+              << " content=" << causeText(m_content) << " causes=" << joinCauses(m_causes);
     const bool needsNewConnection =
         m_route->retrySemantics == fleet::RetrySemantics::AtMostOnce
         || (m_route->retrySemantics == fleet::RetrySemantics::Stream && !m_route->isResumable);
@@ -292,8 +293,7 @@
 bool Exchange::isPlacementUsable() const
 {
     const TargetPool &targets = m_services.targets;
-    return !m_services.prompts.blockedFor(m_caller.sharedParts)
-           && targets.mayReceive(m_placement.target.id)
+    return !m_services.crashes.blockedFor(m_causes) && targets.mayReceive(m_placement.target.id)
            && std::all_of(m_placement.helpers.begin(), m_placement.helpers.end(),
                           [&](const TargetId &helper) { return targets.mayHelp(helper); });
 }
@@ -334,8 +334,8 @@
         m_services.targets.recordFailure(keyOf(m_placement.target.id),
                                          failure == SendFailure::NotSent);
         if (failure == SendFailure::Broken && m_send.hasEnded() && !isPromptProven())
-            m_services.prompts.onConnectionLost(m_placement.target, m_send.startedAt(), m_contentId,
-                                                m_caller.sharedParts);
+            m_services.crashes.onConnectionLost(m_placement.target, m_send.startedAt(), m_content,
+                                                m_causes);
     }
     m_failedTargets.insert(m_placement.target.id);
     handleFailure(failure);
@@ -348,7 +348,7 @@
     // The retry budget counts a send only if an earlier one reached a target.
     const bool isRetry = m_history.sends > 0;
     // The next engine would crash as well.
-    const bool isUnsafe = !isPromptProven() && m_services.prompts.isSuspected(m_caller.sharedParts);
+    const bool isUnsafe = !isPromptProven() && m_services.crashes.isSuspected(m_causes);
     const bool isAllowed = mayRetry && !isUnsafe && timeLeft() > Milliseconds()
                            && (!isRetry || m_services.ingress.tryAcquireRetry(m_service->id));
     m_services.metrics.countSendFailure(m_placement.target.id, failure);
@@ -423,15 +423,15 @@
         respondWithError(statusIfUnknown, reason);
 }
 
-void Exchange::onPromptBlocked()
+void Exchange::onBlocked()
 {
     if (m_isOver || m_route == nullptr || m_awaitsConfiguration || m_history.isResponseStarted)
         return;
-    const std::optional<Milliseconds> blocked = m_services.prompts.blockedFor(m_caller.sharedParts);
+    const std::optional<Milliseconds> blocked = m_services.crashes.blockedFor(m_causes);
     if (!blocked)
         return;
     const std::shared_ptr<Exchange> self = shared_from_this();
-    failRequest(nameOf(RefusalReason::PromptBlocked), *blocked, 502);
+    failRequest(nameOf(RefusalReason::CrashesTargets), *blocked, 502);
 }
 
 void Exchange::stop()
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -6,6 +6,7 @@
 
 #include <egretmount/fleet/configuration.h>
 #include <egretmount/http/event_scanner.h>
+#include <egretmount/limits/crash_causes.h>
 #include <egretmount/limits/next_step.h>
 
 #include "net/server_connection.h"
@@ -17,7 +18,7 @@
 
 class IngressService;
 class MetricsService;
-class PromptGuard;
+class CrashGuard;
 class TargetPool;
 class FleetService;
 
@@ -30,7 +31,7 @@
     TargetPool &targets;
     IngressService &ingress;
     MetricsService &metrics;
-    PromptGuard &prompts;
+    CrashGuard &crashes;
 };
 
 /// @brief Handles one caller's request, from the complete request to the final response.
@@ -60,9 +61,9 @@
     ///        long that the caller would disconnect before the next event.
     void migrate();
 
-    /// @brief Ends the exchange if a part of its prompt is blocked and the caller has received
-    ///        nothing yet. A target that still reads the prompt is spared by that.
-    void onPromptBlocked();
+    /// @brief Ends the exchange if its request is blocked and the caller has received
+    ///        nothing yet. A target that still reads a prompt is spared by that.
+    void onBlocked();
 
     /// @brief Ends the exchange because this instance shuts down.
     void stop();
@@ -86,7 +87,7 @@
     void reserveAndSend(const Placement &placement);
     void sendTo(const Placement &placement);
 
-    /// @brief Returns whether the prompt may still be sent, and whether the target and the helper
+    /// @brief Returns whether the request may still be sent, and whether the target and the helper
     ///        engines of the placement still accept work.
     bool isPlacementUsable() const;
 
@@ -163,7 +164,8 @@
     const fleet::Route *m_route = nullptr;
     const fleet::ServiceSpec *m_service = nullptr;
     TeamId m_team;
-    std::uint64_t m_contentId = 0; ///< Of the request, whatever its attempt and connection.
+    limits::Cause m_content; ///< The request, whatever its attempt and connection.
+    std::vector<limits::Cause> m_causes; ///< By which the request is known if it crashes targets.
     Milliseconds m_arrivedAt;
     Milliseconds m_deadline;
     limits::SendHistory m_history;
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -4,10 +4,10 @@
 
 #include <glog/logging.h>
 
+#include "crash_guard.h"
 #include "fleet_service.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
-#include "prompt_guard.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -121,7 +121,7 @@
 void Exchange::recordProof()
 {
     m_isProofRecorded = true;
-    m_services.prompts.recordSound(m_caller.sharedParts);
+    m_services.crashes.recordSound(m_causes);
 }
 
 std::string Exchange::responseFields(const http::ResponseHead &head) const
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -4,11 +4,11 @@
 
 #include <glog/logging.h>
 
+#include "crash_guard.h"
 #include "fleet_service.h"
 #include "metrics_service.h"
 #include "peer_service.h"
 #include "placement_service.h"
-#include "prompt_guard.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -39,12 +39,12 @@
     m_placement = &m_registry.find<PlacementService>();
     m_targets = &m_registry.find<TargetPool>();
     m_metrics = &m_registry.find<MetricsService>();
-    m_prompts = &m_registry.find<PromptGuard>();
+    m_crashes = &m_registry.find<CrashGuard>();
     addGauges();
     m_fleet->onConfigured([this] { resumeAfterConfiguration(); });
     m_placement->onLongPrefill(
         [this](const std::vector<placement::EngineKey> &engines) { migrateFrom(engines); });
-    m_prompts->onBlocked([this] { endBlocked(); });
+    m_crashes->onBlocked([this] { endBlocked(); });
     m_listener = net::Listener::open(
         m_reactor, m_fleet->settings().callerAddress,
         [this](const Poco::Net::StreamSocket &socket) {
@@ -99,7 +99,7 @@
 void IngressService::endBlocked()
 {
     for (const std::shared_ptr<Exchange> &exchange : allExchanges())
-        exchange->onPromptBlocked();
+        exchange->onBlocked();
 }
 
 void IngressService::recordRequest(const ServiceId &service)
@@ -140,7 +140,7 @@
     }
     const std::shared_ptr<Exchange> exchange =
         std::make_shared<Exchange>(ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets,
-                                                      *this, *m_metrics, *m_prompts },
+                                                      *this, *m_metrics, *m_crashes },
                                    connection, std::move(head), std::move(body));
     m_exchanges.emplace(exchange.get(), exchange);
     const double randomValue = std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -17,7 +17,7 @@
 class MetricsService;
 class PeerService;
 class PlacementService;
-class PromptGuard;
+class CrashGuard;
 class TargetPool;
 
 /// @brief Retry-After of an instance that shuts down: callers can use another instance immediately.
@@ -88,7 +88,7 @@
     PlacementService *m_placement = nullptr;
     TargetPool *m_targets = nullptr;
     MetricsService *m_metrics = nullptr;
-    PromptGuard *m_prompts = nullptr;
+    CrashGuard *m_crashes = nullptr;
     std::shared_ptr<net::Listener> m_listener;
     std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> m_exchanges;
     std::vector<std::weak_ptr<net::ServerConnection>> m_connections;
--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -5,6 +5,7 @@
 
 #include <gflags/gflags.h>
 
+#include "crash_guard.h"
 #include "directory_service.h"
 #include "fleet_service.h"
 #include "ingress_service.h"
@@ -14,7 +15,6 @@
 #include "peer_service.h"
 #include "placement_service.h"
 #include "platform/settings.h"
-#include "prompt_guard.h"
 #include "registry_snapshots.h"
 #include "registry_sync.h"
 #include "shutdown_service.h"
@@ -48,7 +48,7 @@
         registry.add(std::make_unique<MetricsService>(reactor, registry, FLAGS_metrics_port));
     metrics.addGauge("log_lines_dropped", [&sink] { return static_cast<double>(sink.dropped()); });
     registry.add(std::make_unique<TargetPool>(reactor, registry));
-    registry.add(std::make_unique<PromptGuard>(reactor, registry));
+    registry.add(std::make_unique<CrashGuard>(reactor, registry));
     registry.add(std::make_unique<PlacementService>(reactor, registry));
     registry.add(std::make_unique<PeerService>(reactor, registry));
     registry.add(std::make_unique<RegistrySnapshots>(reactor, registry));
--- a/apps/node/peer_message.capnp
+++ b/apps/node/peer_message.capnp
@@ -90,17 +90,22 @@
 }
 
 struct TargetCrash {
-  # A target crashed while it had not written for long on prompts with these parts.
+  # A target crashed while it may have been running requests with these causes.
   target @0 :UInt64;
   ageMs @1 :UInt32;
   parts @2 :List(UInt64);
+  # Shared parts of prompts.
+  requests @3 :List(UInt64);
+  # Ids of the contents of requests.
 }
 
-struct PromptBlock {
-  # Prompts with this part are sent to no engine.
-  part @0 :UInt64;
+struct CauseBlock {
+  # Requests with this cause are sent to no target.
+  id @0 :UInt64;
   ageMs @1 :UInt32;
   leftMs @2 :UInt32;
+  isRequest @3 :Bool;
+  # The id is that of the content of a request, otherwise that of a part of prompts.
 }
 
 struct TargetLimit {
@@ -147,10 +152,12 @@
   # Targets that announced their shutdown to the sender and are not yet listed as draining.
   crashes @15 :List(TargetCrash);
   # Crashes of targets that the sender observed.
-  blockedParts @16 :List(PromptBlock);
-  # Parts of prompts that the sender blocks.
+  blocked @16 :List(CauseBlock);
+  # Causes that the sender blocks.
   soundParts @17 :List(UInt64);
-  # Parts of prompts on which an engine has gone on writing.
+  # Parts of prompts that a target has survived.
   limits @18 :List(TargetLimit);
   # Limits that targets have named, and ends of limits.
+  soundRequests @19 :List(UInt64);
+  # Ids of contents of requests that a target has survived.
 }
--- a/apps/node/peer_messages.cpp
+++ b/apps/node/peer_messages.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+using limits::CauseKind;
+
 void writeInFlight(wire::InFlightRequest::Builder out, const placement::InFlightRequest &request,
                    Milliseconds now)
 {
@@ -47,6 +49,22 @@
         static_cast<std::uint32_t>(std::max<std::int64_t>((queued.expiresAt - now).count(), 0)));
 }
 
+template<typename Causes>
+std::vector<std::uint64_t> idsOf(const Causes &causes, CauseKind kind)
+{
+    std::vector<std::uint64_t> ids;
+    for (const limits::Cause &cause : causes) {
+        if (cause.kind == kind)
+            ids.push_back(cause.id);
+    }
+    return ids;
+}
+
+kj::ArrayPtr<const std::uint64_t> listOf(const std::vector<std::uint64_t> &ids)
+{
+    return kj::arrayPtr(ids.data(), ids.size());
+}
+
 } // namespace
 
 std::uint32_t durationField(Milliseconds duration)
@@ -155,7 +173,7 @@
         writeQueued(waiting[i], *queued[i], now);
 }
 
-void writePrompts(wire::PeerMessage::Builder message, const PromptNews &news, Milliseconds now)
+void writeCrashNews(wire::PeerMessage::Builder message, const CrashNews &news, Milliseconds now)
 {
     if (news.isEmpty())
         return;
@@ -164,37 +182,45 @@
         const limits::TargetCrash &crash = news.crashes[i];
         crashes[i].setTarget(crash.target);
         crashes[i].setAgeMs(durationField(now - crash.at));
-        capnp::List<std::uint64_t>::Builder parts = crashes[i].initParts(crash.parts.size());
-        unsigned position = 0;
-        for (const PromptPartId part : crash.parts)
-            parts.set(position++, part);
+        const std::vector<std::uint64_t> parts = idsOf(crash.causes, CauseKind::PromptPart);
+        const std::vector<std::uint64_t> requests = idsOf(crash.causes, CauseKind::Request);
+        crashes[i].setParts(listOf(parts));
+        crashes[i].setRequests(listOf(requests));
     }
-    capnp::List<wire::PromptBlock>::Builder blocked = message.initBlockedParts(news.blocked.size());
+    capnp::List<wire::CauseBlock>::Builder blocked = message.initBlocked(news.blocked.size());
     for (unsigned i = 0; i < news.blocked.size(); ++i) {
-        blocked[i].setPart(news.blocked[i].part);
+        blocked[i].setId(news.blocked[i].cause.id);
+        blocked[i].setIsRequest(news.blocked[i].cause.kind == CauseKind::Request);
         blocked[i].setAgeMs(durationField(now - news.blocked[i].block.from));
         blocked[i].setLeftMs(durationField(news.blocked[i].block.until - now));
     }
-    capnp::List<std::uint64_t>::Builder sound = message.initSoundParts(news.sound.size());
-    for (unsigned i = 0; i < news.sound.size(); ++i)
-        sound.set(i, news.sound[i]);
+    const std::vector<std::uint64_t> soundParts = idsOf(news.sound, CauseKind::PromptPart);
+    const std::vector<std::uint64_t> soundRequests = idsOf(news.sound, CauseKind::Request);
+    message.setSoundParts(listOf(soundParts));
+    message.setSoundRequests(listOf(soundRequests));
 }
 
-PromptNews readPrompts(wire::PeerMessage::Reader message, Milliseconds now)
+CrashNews readCrashNews(wire::PeerMessage::Reader message, Milliseconds now)
 {
-    PromptNews news;
+    CrashNews news;
     for (const wire::TargetCrash::Reader crash : message.getCrashes()) {
         limits::TargetCrash read { crash.getTarget(), now - Milliseconds(crash.getAgeMs()), {} };
-        for (const PromptPartId part : crash.getParts())
-            read.parts.insert(part);
+        for (const std::uint64_t id : crash.getParts())
+            read.causes.insert({ CauseKind::PromptPart, id });
+        for (const std::uint64_t id : crash.getRequests())
+            read.causes.insert({ CauseKind::Request, id });
         news.crashes.push_back(std::move(read));
     }
-    for (const wire::PromptBlock::Reader blocked : message.getBlockedParts())
-        news.blocked.push_back({ blocked.getPart(),
+    for (const wire::CauseBlock::Reader blocked : message.getBlocked()) {
+        const CauseKind kind = blocked.getIsRequest() ? CauseKind::Request : CauseKind::PromptPart;
+        news.blocked.push_back({ { kind, blocked.getId() },
                                  { now - Milliseconds(blocked.getAgeMs()),
                                    now + Milliseconds(blocked.getLeftMs()) } });
-    for (const PromptPartId part : message.getSoundParts())
-        news.sound.push_back(part);
+    }
+    for (const std::uint64_t id : message.getSoundParts())
+        news.sound.push_back({ CauseKind::PromptPart, id });
+    for (const std::uint64_t id : message.getSoundRequests())
+        news.sound.push_back({ CauseKind::Request, id });
     return news;
 }
 
--- a/apps/node/peer_messages.h
+++ b/apps/node/peer_messages.h
@@ -10,8 +10,8 @@
 #include <egretmount/membership/member_list.h>
 #include <egretmount/placement/load_tracker.h>
 
+#include "crash_news.h"
 #include "peer_message.capnp.h"
-#include "prompt_news.h"
 #include "target_limit_news.h"
 
 namespace egretmount::node {
@@ -54,12 +54,12 @@
 placement::QueuedRequest readQueued(wire::QueuedRequest::Reader in, const std::string &owner,
                                     Milliseconds now);
 
-/// @brief Writes what the sender knows of prompts that crash engines.
-void writePrompts(wire::PeerMessage::Builder message, const PromptNews &news, Milliseconds now);
+/// @brief Writes what the sender knows of requests that crash targets.
+void writeCrashNews(wire::PeerMessage::Builder message, const CrashNews &news, Milliseconds now);
 
-/// @brief Reads what another instance knows of prompts that crash engines, with times on this
+/// @brief Reads what another instance knows of requests that crash targets, with times on this
 ///        instance's clock.
-PromptNews readPrompts(wire::PeerMessage::Reader message, Milliseconds now);
+CrashNews readCrashNews(wire::PeerMessage::Reader message, Milliseconds now);
 
 /// @brief Writes the rate limits of targets, and ends of limits.
 void writeLimits(wire::PeerMessage::Builder message, const std::vector<TargetLimitNews> &limits,
--- a/apps/node/peer_receiving.cpp
+++ b/apps/node/peer_receiving.cpp
@@ -3,11 +3,11 @@
 #include <capnp/serialize-packed.h>
 #include <glog/logging.h>
 
+#include "crash_guard.h"
 #include "fleet_service.h"
 #include "peer_messages.h"
 #include "peer_service.h"
 #include "placement_service.h"
-#include "prompt_guard.h"
 #include "registry_sync.h"
 #include "target_pool.h"
 
@@ -29,7 +29,7 @@
         const std::string host = message.getSender();
         applyMembership(host, message);
         applyRequestState(host, message);
-        applyPrompts(host, message);
+        applyCrashNews(host, message);
         applyRegistryState(host, message);
     } catch (const kj::Exception &error) {
         LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " reason=\""
@@ -37,11 +37,11 @@
     }
 }
 
-void PeerService::applyPrompts(const std::string &host, wire::PeerMessage::Reader message)
+void PeerService::applyCrashNews(const std::string &host, wire::PeerMessage::Reader message)
 {
-    const PromptNews news = readPrompts(message, m_reactor.now());
+    const CrashNews news = readCrashNews(message, m_reactor.now());
     if (!news.isEmpty())
-        m_prompts->applyRemote(host, news);
+        m_crashes->applyRemote(host, news);
 }
 
 void PeerService::applyRegistryState(const std::string &host, wire::PeerMessage::Reader message)
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -12,10 +12,10 @@
 
 #include <egretmount/membership/registry_sync.h>
 
+#include "crash_guard.h"
 #include "fleet_service.h"
 #include "peer_messages.h"
 #include "placement_service.h"
-#include "prompt_guard.h"
 #include "registry_sync.h"
 #include "target_pool.h"
 
@@ -111,7 +111,7 @@
     m_placement = &m_registry.find<PlacementService>();
     m_sync = &m_registry.find<RegistrySync>();
     m_targets = &m_registry.find<TargetPool>();
-    m_prompts = &m_registry.find<PromptGuard>();
+    m_crashes = &m_registry.find<CrashGuard>();
     const instance::Settings &settings = m_fleet->settings();
     m_memberList.self.host = settings.host;
     m_memberList.self.incarnation =
@@ -179,21 +179,21 @@
     scheduleFlush(Audience::Fleet, placementFlushDelay);
 }
 
-void PeerService::broadcastPrompts(const PromptNews &news)
+void PeerService::broadcastCrashNews(const CrashNews &news)
 {
-    PromptNews &out = m_fleetOutbox.prompts;
+    CrashNews &out = m_fleetOutbox.crashes;
     out.crashes.insert(out.crashes.end(), news.crashes.begin(), news.crashes.end());
     out.blocked.insert(out.blocked.end(), news.blocked.begin(), news.blocked.end());
     out.sound.insert(out.sound.end(), news.sound.begin(), news.sound.end());
     scheduleFlush(Audience::Fleet, placementFlushDelay);
 }
 
-void PeerService::sendPrompts(const std::string &host, const PromptNews &news)
+void PeerService::sendCrashNews(const std::string &host, const CrashNews &news)
 {
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
     writeHeader(message);
-    writePrompts(message, news, m_reactor.now());
+    writeCrashNews(message, news, m_reactor.now());
     send(host, serializePacked(builder));
 }
 
@@ -279,7 +279,7 @@
         departures[i].setTarget(outbox.departures[i].target);
         departures[i].setStartedAt(outbox.departures[i].startedAt);
     }
-    writePrompts(message, outbox.prompts, m_reactor.now());
+    writeCrashNews(message, outbox.crashes, m_reactor.now());
     writeLimits(message, outbox.limits, m_reactor.now());
     const std::string datagram = serializePacked(builder);
     if (audience == Audience::Cell)
@@ -315,7 +315,7 @@
     writeHeader(message);
     message.setIsStatement(true);
     writeRequests(message, inFlight, m_placement->ownQueued(), m_reactor.now());
-    writePrompts(message, m_prompts->snapshot(), m_reactor.now());
+    writeCrashNews(message, m_crashes->snapshot(), m_reactor.now());
     writeLimits(message, m_targets->limitsInForce(), m_reactor.now());
     return serializePacked(builder);
 }
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -13,17 +13,17 @@
 #include <egretmount/placement/cell.h>
 #include <egretmount/placement/load_tracker.h>
 
+#include "crash_news.h"
 #include "kernel/service.h"
 #include "net/reactor.h"
 #include "peer_message.capnp.h"
-#include "prompt_news.h"
 #include "target_limit_news.h"
 
 namespace egretmount::node {
 
 class FleetService;
 class PlacementService;
-class PromptGuard;
+class CrashGuard;
 class RegistrySync;
 class TargetPool;
 
@@ -80,11 +80,11 @@
     /// @brief Broadcasts the rate limit that a target has named, or its end.
     void broadcastLimit(const TargetLimitNews &news);
 
-    /// @brief Broadcasts what this instance knows of prompts that crash engines.
-    void broadcastPrompts(const PromptNews &news);
+    /// @brief Broadcasts what this instance knows of requests that crash targets.
+    void broadcastCrashNews(const CrashNews &news);
 
     /// @brief Sends it to one instance.
-    void sendPrompts(const std::string &host, const PromptNews &news);
+    void sendCrashNews(const std::string &host, const CrashNews &news);
 
     /// @brief Notifies the instances that receive registry changes through this one that it has a
     ///        new version.
@@ -132,7 +132,7 @@
         std::vector<std::uint64_t> ended;
         std::vector<placement::EngineKey> ejections;
         std::vector<Departure> departures;
-        PromptNews prompts;
+        CrashNews crashes;
         std::vector<TargetLimitNews> limits;
         Milliseconds flushAt; ///< When the pending flush runs.
         net::TimerId flushTimer = 0;
@@ -148,7 +148,7 @@
     void applyRegistryState(const std::string &host, wire::PeerMessage::Reader message);
     void applyMembership(const std::string &host, wire::PeerMessage::Reader message);
     void applyRequestState(const std::string &host, wire::PeerMessage::Reader message);
-    void applyPrompts(const std::string &host, wire::PeerMessage::Reader message);
+    void applyCrashNews(const std::string &host, wire::PeerMessage::Reader message);
     void sendSnapshots();
 
     /// @param audience `Fleet`: without the requests that only the cell knows of.
@@ -171,7 +171,7 @@
     PlacementService *m_placement = nullptr;
     RegistrySync *m_sync = nullptr;
     TargetPool *m_targets = nullptr;
-    PromptGuard *m_prompts = nullptr;
+    CrashGuard *m_crashes = nullptr;
     membership::MemberList m_memberList;
     std::vector<InstanceId> m_living;
     std::shared_ptr<Socket> m_socket;
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -52,7 +52,7 @@
     AllFull, ///< No target has a free slot and enough memory.
     TooLate, ///< The first event would come after the client timeout.
     Overloaded, ///< Admission control: its prefill would delay others too much for its weight.
-    PromptBlocked, ///< A part of its prompt crashes engines.
+    CrashesTargets, ///< It has crashed targets, or shares a part with prompts that have.
 };
 
 /// @brief The result for a request that is not placed.
@@ -198,6 +198,6 @@
         { RefusalReason::AllFull, "all-full" },
         { RefusalReason::TooLate, "too-late" },
         { RefusalReason::Overloaded, "overloaded" },
-        { RefusalReason::PromptBlocked, "prompt-blocked" },
+        { RefusalReason::CrashesTargets, "crashes-targets" },
     } };
 };
--- a/tests/parts/limits_prompt_suspects_test.cpp
+++ b/tests/parts/limits_crash_causes_test.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include <egretmount/limits/prompt_suspects.h>
+#include <egretmount/limits/crash_causes.h>
 
 using namespace egretmount;
 using namespace egretmount::limits;
@@ -14,22 +14,32 @@
 
 namespace {
 
-constexpr PromptPartId first = 1; // common to all prompts of the route
-constexpr PromptPartId bad = 2;
-constexpr PromptPartId rare = 3;
+constexpr Cause first { CauseKind::PromptPart, 1 }; // common to all prompts of the route
+constexpr Cause bad { CauseKind::PromptPart, 2 };
+constexpr Cause rare { CauseKind::PromptPart, 3 };
 constexpr std::uint64_t route = 7;
 
+Cause partOf(std::uint64_t id)
+{
+    return { CauseKind::PromptPart, id };
+}
+
+Cause anyPart(std::mt19937_64 &random)
+{
+    return partOf(1'000 + random() % 50);
+}
+
 // The state of an instance that has received prompts with a common first part.
-PromptSuspects usedState(Milliseconds now, int prompts = 20)
+CrashCauses usedState(Milliseconds now, int prompts = 20)
 {
-    PromptSuspects suspects;
+    CrashCauses suspects;
     suspects.decayedAt = now;
     for (int i = 0; i < prompts; ++i)
-        recordPrompt(suspects, route, { first }, now);
+        recordRequest(suspects, route, { first }, now);
     return suspects;
 }
 
-bool isBlocked(const PromptSuspects &suspects, PromptPartId part, Milliseconds now)
+bool isBlocked(const CrashCauses &suspects, const Cause &part, Milliseconds now)
 {
     return blockedFor(suspects, { part }, now).has_value();
 }
@@ -39,23 +49,23 @@
 // Guards against prompts that crash one engine after the other.
 TEST_CASE("a part is blocked once it has crashed three engines one after the other")
 {
-    PromptSuspects suspects = usedState(0_ms);
-    recordPrompt(suspects, route, { first, bad }, 0_ms);
+    CrashCauses suspects = usedState(0_ms);
+    recordRequest(suspects, route, { first, bad }, 0_ms);
     CHECK(recordCrash(suspects, 101, { first, bad }, 1'000_ms, 1'000_ms).empty());
     CHECK(isSuspected(suspects, { bad }));
     CHECK(recordCrash(suspects, 102, { first, bad }, 1'400_ms, 1'400_ms).empty());
     CHECK(recordCrash(suspects, 103, { bad }, 1'800_ms, 1'800_ms) == std::vector { bad });
     CHECK(isBlocked(suspects, bad, 1'800_ms));
     CHECK_FALSE(isBlocked(suspects, first, 1'800_ms)); // nearly all prompts hold it
-    CHECK(isBlocked(suspects, bad, 1'799_ms + promptBlockTime));
-    CHECK_FALSE(isBlocked(suspects, bad, 1'800_ms + promptBlockTime));
+    CHECK(isBlocked(suspects, bad, 1'799_ms + causeBlockTime));
+    CHECK_FALSE(isBlocked(suspects, bad, 1'800_ms + causeBlockTime));
 }
 
 // Guards against blame for prompts whose engines fail together, as those of a zone do.
 TEST_CASE("engines that crash at the same moment block no part")
 {
-    PromptSuspects suspects = usedState(0_ms);
-    recordPrompt(suspects, route, { first, rare }, 0_ms);
+    CrashCauses suspects = usedState(0_ms);
+    recordRequest(suspects, route, { first, rare }, 0_ms);
     for (std::uint64_t target = 1; target <= 20; ++target) {
         const Milliseconds at = 1'000_ms + Milliseconds(static_cast<std::int64_t>(target * 20));
         CHECK(recordCrash(suspects, target, { rare }, at, at).empty());
@@ -65,8 +75,8 @@
 
 TEST_CASE("the reports of several instances of one crash count once")
 {
-    PromptSuspects suspects = usedState(0_ms);
-    recordPrompt(suspects, route, { bad }, 0_ms);
+    CrashCauses suspects = usedState(0_ms);
+    recordRequest(suspects, route, { bad }, 0_ms);
     for (int report = 0; report < 10; ++report) {
         const Milliseconds at = 1'000_ms + Milliseconds(std::int64_t(report) * 20);
         CHECK(recordCrash(suspects, 101, { bad }, at, at).empty());
@@ -80,8 +90,8 @@
 // Guards against a refusal of sound prompts that shared an engine with one that crashes it.
 TEST_CASE("a part that an engine has gone on writing on is never blocked")
 {
-    PromptSuspects suspects = usedState(0_ms);
-    recordPrompt(suspects, route, { rare }, 0_ms);
+    CrashCauses suspects = usedState(0_ms);
+    recordRequest(suspects, route, { rare }, 0_ms);
     CHECK(recordSound(suspects, { rare }, 500_ms).empty());
     for (std::uint64_t target = 1; target <= 10; ++target) {
         const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
@@ -93,7 +103,7 @@
 
 TEST_CASE("proof that a part is sound ends its block")
 {
-    PromptSuspects suspects = usedState(0_ms);
+    CrashCauses suspects = usedState(0_ms);
     CHECK(recordBlock(suspects, rare, { 0_ms, 900'000_ms }, 1'000_ms)); // not received here yet
     CHECK_FALSE(recordBlock(suspects, rare, { 0_ms, 900'000_ms }, 1'000_ms));
     CHECK(isBlocked(suspects, rare, 1'000_ms));
@@ -104,9 +114,9 @@
 // Guards against blame for the neighbours of a prompt that is known to crash engines.
 TEST_CASE("a crash that a blocked part explains implicates no other part")
 {
-    PromptSuspects suspects = usedState(0_ms);
-    recordPrompt(suspects, route, { bad }, 0_ms);
-    recordPrompt(suspects, route, { rare }, 0_ms);
+    CrashCauses suspects = usedState(0_ms);
+    recordRequest(suspects, route, { bad }, 0_ms);
+    recordRequest(suspects, route, { rare }, 0_ms);
     for (std::uint64_t target = 1; target <= 3; ++target) {
         const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
         recordCrash(suspects, target, { bad }, at, at);
@@ -122,18 +132,18 @@
 
 TEST_CASE("one crash after the end of a block blocks the part again, for longer")
 {
-    PromptSuspects suspects = usedState(0_ms);
-    recordPrompt(suspects, route, { bad }, 0_ms);
+    CrashCauses suspects = usedState(0_ms);
+    recordRequest(suspects, route, { bad }, 0_ms);
     for (std::uint64_t target = 1; target <= 3; ++target) {
         const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
         recordCrash(suspects, target, { bad }, at, at);
     }
-    const Milliseconds later = 3'000_ms + promptBlockTime + 60'000_ms;
+    const Milliseconds later = 3'000_ms + causeBlockTime + 60'000_ms;
     removeExpired(suspects, later);
     CHECK_FALSE(isBlocked(suspects, bad, later));
     CHECK(recordCrash(suspects, 4, { bad }, later, later) == std::vector { bad });
-    CHECK(isBlocked(suspects, bad, later + promptBlockTime * 2 - 1_ms));
-    const Milliseconds end = later + promptBlockTime * 4;
+    CHECK(isBlocked(suspects, bad, later + causeBlockTime * 2 - 1_ms));
+    const Milliseconds end = later + causeBlockTime * 4;
     removeExpired(suspects, end);
     CHECK(suspects.blocked.empty());
     CHECK(suspects.crashes.empty());
@@ -141,24 +151,24 @@
 
 TEST_CASE("the state stays within its bounds whatever parts callers invent")
 {
-    PromptSuspects suspects;
+    CrashCauses suspects;
     std::mt19937_64 random(1);
     for (int i = 0; i < 60'000; ++i)
-        recordPrompt(suspects, random(), { random(), random() }, Milliseconds(i));
+        recordRequest(suspects, random(), { partOf(random()), partOf(random()) }, Milliseconds(i));
     for (std::uint64_t target = 0; target < 2'000; ++target) {
-        std::vector<PromptPartId> parts(100);
-        std::generate(parts.begin(), parts.end(), [&random] { return random(); });
+        std::vector<Cause> parts(100);
+        std::generate(parts.begin(), parts.end(), [&random] { return partOf(random()); });
         recordCrash(suspects, target, parts, 60'000_ms, 60'000_ms);
     }
     for (int i = 0; i < 500; ++i)
-        recordBlock(suspects, random(), { 60'000_ms, 90'000_ms }, 60'000_ms);
+        recordBlock(suspects, partOf(random()), { 60'000_ms, 90'000_ms }, 60'000_ms);
     removeExpired(suspects, 60'000_ms);
-    CHECK(suspects.parts.size() <= maxPromptParts);
+    CHECK(suspects.uses.size() <= maxKnownCauses);
     CHECK(suspects.crashes.size() <= maxTargetCrashes);
-    CHECK(suspects.blocked.size() <= maxBlockedParts);
-    CHECK(suspects.receivedByRoute.size() <= maxPromptRoutes);
+    CHECK(suspects.blocked.size() <= maxBlockedCauses);
+    CHECK(suspects.receivedByRoute.size() <= maxCauseRoutes);
     for (const TargetCrash &crash : suspects.crashes)
-        CHECK(crash.parts.size() <= maxPartsPerCrash);
+        CHECK(crash.causes.size() <= maxCausesPerCrash);
 }
 
 namespace {
@@ -173,12 +183,12 @@
         std::size_t from = 0;
         std::size_t to = 0;
         TargetCrash crash;
-        std::vector<PromptPartId> blocked;
-        std::vector<PromptPartId> sound;
+        std::vector<Cause> blocked;
+        std::vector<Cause> sound;
     };
 
-    std::vector<PromptSuspects> instances;
-    std::vector<std::set<PromptPartId>> accused; ///< By each instance.
+    std::vector<CrashCauses> instances;
+    std::vector<std::set<Cause>> accused; ///< By each instance.
     std::vector<Message> network;
     std::mt19937_64 random { 1 };
     Milliseconds now;
@@ -199,8 +209,8 @@
         return std::uniform_real_distribution<double>(0, 1)(random) < probability;
     }
 
-    void broadcast(std::size_t from, const TargetCrash &crash,
-                   const std::vector<PromptPartId> &blocked, const std::vector<PromptPartId> &sound)
+    void broadcast(std::size_t from, const TargetCrash &crash, const std::vector<Cause> &blocked,
+                   const std::vector<Cause> &sound)
     {
         for (std::size_t to = 0; to < instances.size(); ++to) {
             if (to != from)
@@ -218,10 +228,9 @@
     // An instance that accused a part which others know to be sound passes that on.
     void clear(const Message &message)
     {
-        const std::vector<PromptPartId> cleared =
-            recordSound(instances[message.to], message.sound, now);
-        std::vector<PromptPartId> withdrawn;
-        for (const PromptPartId part : cleared) {
+        const std::vector<Cause> cleared = recordSound(instances[message.to], message.sound, now);
+        std::vector<Cause> withdrawn;
+        for (const Cause &part : cleared) {
             if (accused[message.to].erase(part) > 0)
                 withdrawn.push_back(part);
         }
@@ -232,11 +241,11 @@
     void replyTo(const Message &message)
     {
         Message reply { {}, message.to, message.from, {}, {}, {} };
-        for (const PromptPartId part : message.crash.parts) {
+        for (const Cause &part : message.crash.causes) {
             if (isSound(instances[message.to], part))
                 reply.sound.push_back(part);
         }
-        for (const PromptPartId part : message.blocked) {
+        for (const Cause &part : message.blocked) {
             if (isSound(instances[message.to], part))
                 reply.sound.push_back(part);
         }
@@ -246,8 +255,9 @@
 
     void applyCrash(std::size_t at, const TargetCrash &crash)
     {
-        const std::vector<PromptPartId> blocked = recordCrash(
-            instances[at], crash.target, { crash.parts.begin(), crash.parts.end() }, crash.at, now);
+        const std::vector<Cause> blocked =
+            recordCrash(instances[at], crash.target, { crash.causes.begin(), crash.causes.end() },
+                        crash.at, now);
         accused[at].insert(blocked.begin(), blocked.end());
         if (!blocked.empty())
             broadcast(at, {}, blocked, {});
@@ -262,16 +272,16 @@
         for (const Message &message : due) {
             clear(message);
             replyTo(message);
-            for (const PromptPartId part : message.blocked)
-                recordBlock(instances[message.to], part, { now, now + promptBlockTime }, now);
-            if (!message.crash.parts.empty())
+            for (const Cause &part : message.blocked)
+                recordBlock(instances[message.to], part, { now, now + causeBlockTime }, now);
+            if (!message.crash.causes.empty())
                 applyCrash(message.to, message.crash);
         }
     }
 
     // An engine crashes 120 ms after a prompt with the bad part has arrived there, and takes
     // neighbours with it whose answers have not begun.
-    void runBadPrompt(std::size_t at, std::uint64_t engine, const std::vector<PromptPartId> &parts)
+    void runBadPrompt(std::size_t at, std::uint64_t engine, const std::vector<Cause> &parts)
     {
         badArrivals.push_back(now);
         pending.push_back({ now + 120_ms, at, engine, parts });
@@ -282,7 +292,7 @@
         Milliseconds at;
         std::size_t instance = 0;
         std::uint64_t engine = 0;
-        std::vector<PromptPartId> parts;
+        std::vector<Cause> parts;
     };
     std::vector<Crash> pending;
 
@@ -299,14 +309,14 @@
             report(crash.instance, crash.engine, crash.parts);
             for (std::size_t i = 0; i < instances.size(); ++i) {
                 if (occurs(neighbourRate))
-                    report(i, crash.engine, { first, 1'000 + random() % 50 });
+                    report(i, crash.engine, { first, anyPart(random) });
             }
         }
     }
 
-    void report(std::size_t instance, std::uint64_t engine, const std::vector<PromptPartId> &parts)
+    void report(std::size_t instance, std::uint64_t engine, const std::vector<Cause> &parts)
     {
-        const std::vector<PromptPartId> unproven = unprovenParts(instances[instance], parts);
+        const std::vector<Cause> unproven = unprovenCauses(instances[instance], parts);
         if (unproven.empty())
             return;
         const TargetCrash crash { engine, now, { unproven.begin(), unproven.end() } };
@@ -318,23 +328,21 @@
     void run(Milliseconds duration, double promptsPerMs, double badPerMs, double neighbourRate,
              Milliseconds badFrom)
     {
-        std::vector<std::pair<Milliseconds, std::pair<std::size_t, std::vector<PromptPartId>>>>
-            served;
+        std::vector<std::pair<Milliseconds, std::pair<std::size_t, std::vector<Cause>>>> served;
         for (; now < duration; now += 1_ms) {
             deliver();
             crashEngines(neighbourRate);
             while (!served.empty() && served.front().first <= now) {
                 const auto [instance, parts] = served.front().second;
                 served.erase(served.begin());
-                const std::vector<PromptPartId> cleared =
-                    recordSound(instances[instance], parts, now);
+                const std::vector<Cause> cleared = recordSound(instances[instance], parts, now);
                 if (!cleared.empty())
                     broadcast(instance, {}, {}, cleared);
             }
             if (occurs(promptsPerMs)) {
                 const std::size_t instance = random() % instances.size();
-                const std::vector<PromptPartId> parts { first, 1'000 + random() % 50 };
-                recordPrompt(instances[instance], route, parts, now);
+                const std::vector<Cause> parts { first, anyPart(random) };
+                recordRequest(instances[instance], route, parts, now);
                 ++soundSent;
                 if (blockedFor(instances[instance], parts, now))
                     ++soundRefused;
@@ -343,8 +351,8 @@
             }
             if (now >= badFrom && occurs(badPerMs)) {
                 const std::size_t instance = random() % instances.size();
-                const std::vector<PromptPartId> parts { first, bad, 1'000 + random() % 50 };
-                recordPrompt(instances[instance], route, parts, now);
+                const std::vector<Cause> parts { first, bad, anyPart(random) };
+                recordRequest(instances[instance], route, parts, now);
                 if (!blockedFor(instances[instance], parts, now))
                     runBadPrompt(instance, random() % 100'000, parts);
             }
@@ -399,7 +407,7 @@
             // Five waves of engines that fail together, 0.9 s apart.
             if (engine % 12 == 0)
                 model.run(model.now + 900_ms, 0.05, 0, 0, 100'000_ms);
-            model.report(model.random() % 8, engine, { first, 1'000 + model.random() % 50 });
+            model.report(model.random() % 8, engine, { first, anyPart(model.random) });
         }
         model.run(model.now + 3'000_ms, 0.05, 0, 0, 100'000_ms);
         CHECK(model.soundRefused == 0);
