Send a request to no target once it has crashed three

Callers saw: a plain lookup that crashed each target that ran it came again at any instance and took the whole service down every three seconds; all other requests of the service got 502 and 503.

Cause: only shared parts of prompts were evidence. A request without them was nobody's suspect, its crashes were not even looked into, and each repeat, ours and the callers', was placed on whichever target had come back. Class of fault: work that is harmful wherever it runs is known by one of its names only.

The content of a request (method, address, team, body) is now a cause like a part of prompts, with the same evidence, news, checks and answers. What differs: every instance decides, as its share of a route says nothing; three crashes within 0.7 s block it for 10 s, as our own repeat alone makes two within 0.1 s, and a service may have no more targets; a request is blocked rather than the parts that fell with it. Once a block has ended, one request at a time is on trial, which all instances are told. A request under which a target crashed before is not repeated; a first crash, or a refusal by a full target, no longer prevents a repeat.

Ruled out: overwhelmed cold targets (the first three were warm).

--- a/apps/node/crash_guard.cpp
+++ b/apps/node/crash_guard.cpp
@@ -27,7 +27,9 @@
 constexpr std::size_t maxAnnounced = 10'000;
 // A snapshot is one datagram, which also holds the requests of the instance.
 constexpr std::size_t maxCrashesInSnapshot = 16;
-constexpr std::size_t maxCausesInSnapshot = 128;
+constexpr std::size_t maxCausesInSnapshot = 256;
+// Stands for the reporting host in a log line about a crash that this instance has observed.
+const std::string ownCrash = "self";
 
 } // namespace
 
@@ -38,6 +40,7 @@
 
 void CrashGuard::start()
 {
+    m_causes.instance = stableHash(m_registry.find<FleetService>().settings().host);
     m_targets = &m_registry.find<TargetPool>();
     m_peers = &m_registry.find<PeerService>();
     m_metrics = &m_registry.find<MetricsService>();
@@ -57,8 +60,7 @@
 
 void CrashGuard::recordRequest(const std::string &route, const std::vector<limits::Cause> &causes)
 {
-    if (!causes.empty())
-        limits::recordRequest(m_causes, stableHash(route), causes, m_reactor.now());
+    limits::recordRequest(m_causes, stableHash(route), causes, m_reactor.now());
 }
 
 std::optional<Milliseconds> CrashGuard::blockedFor(const std::vector<limits::Cause> &causes) const
@@ -71,6 +73,24 @@
     return limits::isSuspected(m_causes, causes);
 }
 
+std::optional<Milliseconds> CrashGuard::endedFor(const std::vector<limits::Cause> &causes) const
+{
+    return limits::endedFor(m_causes, causes, m_reactor.now());
+}
+
+void CrashGuard::recordSend(const std::vector<limits::Cause> &causes)
+{
+    CrashNews news;
+    news.blocked = limits::recordSend(m_causes, causes, m_reactor.now());
+    if (news.isEmpty())
+        return;
+    for (const limits::BlockedCause &heldBack : news.blocked) {
+        LOG(INFO) << "crashes: request on trial cause=" << causeText(heldBack.cause);
+        m_announced.insert(heldBack.cause);
+    }
+    m_peers->broadcastCrashNews(news);
+}
+
 void CrashGuard::recordSound(const std::vector<limits::Cause> &causes)
 {
     const std::vector<limits::Cause> cleared =
@@ -86,20 +106,19 @@
 }
 
 void CrashGuard::onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
-                                  const limits::Cause &request,
                                   const std::vector<limits::Cause> &causes)
 {
     if (m_targets->turnsAway(target))
         return;
     const std::vector<limits::Cause> unproven = limits::unprovenCauses(m_causes, causes);
+    if (unproven.empty())
+        return;
     const placement::EngineKey key = keyOf(target.id);
     CrashCheck &check = m_checks[key];
     for (const limits::Cause &cause : unproven) {
         if (check.causes.size() < limits::maxCausesPerCrash)
             check.causes.insert(cause);
     }
-    if (check.requests.size() < limits::maxCausesPerCrash)
-        check.requests.insert(request);
     if (check.client)
         return;
     check.target = target;
@@ -133,9 +152,8 @@
               << " crashed=" << hasCrashed << " cut_off=" << isCutOff
               << " listening=" << report.isListening << " responded=" << report.hasResponded
               << " started_at=" << report.startedAt << " expected=" << check.startedAt
-              << " requests=" << joinCauses(check.requests)
               << " causes=" << joinCauses(check.causes);
-    if (!hasCrashed || check.causes.empty())
+    if (!hasCrashed)
         return;
     const limits::TargetCrash crash { key, check.askedAt, check.causes };
     m_ownCrashes.push_back(crash);
@@ -145,7 +163,7 @@
     CrashNews news;
     news.crashes.push_back(crash);
     m_peers->broadcastCrashNews(news);
-    applyCrash(crash, "self");
+    applyCrash(crash, ownCrash);
 }
 
 void CrashGuard::applyCrash(const limits::TargetCrash &crash, const std::string &host)
@@ -163,22 +181,26 @@
         LOG(WARNING) << "crashes: cause blocked cause=" << causeText(cause)
                      << " crashes=" << limits::crashCount(m_causes, cause)
                      << " last_target=" << crash.target << " from=" << host
-                     << " for_ms=" << blockedFor({ cause })->count();
+                     << " for_ms=" << blockedFor({ cause }).value_or(Milliseconds()).count();
     }
     if (blocked.empty())
         return;
-    announceBlocked(blocked);
+    announceBlocked(blocked, host == ownCrash);
     notifyListeners();
 }
 
-void CrashGuard::announceBlocked(const std::vector<limits::Cause> &causes)
+void CrashGuard::announceBlocked(const std::vector<limits::Cause> &causes, bool isOwnCrash)
 {
     CrashNews news;
     for (const limits::Cause &cause : causes) {
+        // All instances that have heard of the crash block the request themselves.
+        if (!isOwnCrash && cause.kind == limits::CauseKind::Request)
+            continue;
         m_announced.insert(cause);
         news.blocked.push_back({ cause, m_causes.blocked.at(cause) });
     }
-    m_peers->broadcastCrashNews(news);
+    if (!news.isEmpty())
+        m_peers->broadcastCrashNews(news);
 }
 
 void CrashGuard::applyRemote(const std::string &host, const CrashNews &news)
@@ -191,7 +213,7 @@
     // Only to the sender, which passes it on once: many instances may know of the same cause.
     CrashNews reply;
     bool hasNewBlock = false;
-    for (const CrashNews::BlockedCause &blocked : news.blocked) {
+    for (const limits::BlockedCause &blocked : news.blocked) {
         if (limits::recordBlock(m_causes, blocked.cause, blocked.block, now)) {
             hasNewBlock = true;
             LOG(WARNING) << "crashes: cause blocked cause=" << causeText(blocked.cause)
--- a/apps/node/crash_guard.h
+++ b/apps/node/crash_guard.h
@@ -42,6 +42,13 @@
     /// @brief Returns for how long a request may be sent to no target; nothing if it may be sent.
     std::optional<Milliseconds> blockedFor(const std::vector<limits::Cause> &causes) const;
 
+    /// @brief Returns for how long a request that has been sent would be blocked; nothing if it may
+    ///        run.
+    std::optional<Milliseconds> endedFor(const std::vector<limits::Cause> &causes) const;
+
+    /// @brief Records that a request is sent. One whose block has ended is on trial.
+    void recordSend(const std::vector<limits::Cause> &causes);
+
     /// @brief Returns whether one of the causes was in a request that may have crashed a target,
     ///        and none has proven sound since.
     bool isSuspected(const std::vector<limits::Cause> &causes) const;
@@ -51,10 +58,9 @@
 
     /// @brief Finds out whether a target has crashed that ended a connection within a response.
     /// @param startedAt Start stamp of the target when the request was sent.
-    /// @param request That broke off.
     /// @param causes In the request, unless the target had been writing on it for long.
     void onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
-                          const limits::Cause &request, const std::vector<limits::Cause> &causes);
+                          const std::vector<limits::Cause> &causes);
 
     /// @brief Registers a listener for causes that are blocked from now on.
     void onBlocked(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
@@ -74,7 +80,6 @@
         std::int64_t startedAt = 0;
         Milliseconds askedAt;
         std::set<limits::Cause> causes; ///< Of all requests that broke off at the target.
-        std::set<limits::Cause> requests; ///< Those requests.
     };
 
     void onChecked(placement::EngineKey key, int status, const std::string &body);
@@ -83,7 +88,8 @@
     void applyCrash(const limits::TargetCrash &crash, const std::string &host);
     /// @brief Tells the others of causes that this instance has accused and that are sound.
     void withdraw(const std::vector<limits::Cause> &cleared);
-    void announceBlocked(const std::vector<limits::Cause> &causes);
+    /// @param isOwnCrash This instance has observed the crash that led to it.
+    void announceBlocked(const std::vector<limits::Cause> &causes, bool isOwnCrash);
     void notifyListeners() const;
 
     net::Reactor &m_reactor;
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -128,9 +128,9 @@
         }
         m_team = team->id;
     }
-    m_content = { limits::CauseKind::Request,
-                  limits::contentId({ m_requestHead.method, host, m_requestHead.target,
-                                      m_team.value, m_bodyDigest }) };
+    m_causes = { { limits::CauseKind::Request,
+                   limits::contentId({ m_requestHead.method, host, m_requestHead.target,
+                                       m_team.value, m_bodyDigest }) } };
     for (const PromptPartId part : m_caller.sharedParts)
         m_causes.push_back({ limits::CauseKind::PromptPart, part });
     if (m_caller.requestId.empty()) {
@@ -279,7 +279,7 @@
               << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
               << " expected_ms=" << placement.expectedMs << " left_ms=" << fields.timeLeft.count()
               << " sends=" << m_history.sends << " config=" << m_configuration->version
-              << " content=" << causeText(m_content) << " causes=" << joinCauses(m_causes);
+              << " causes=" << joinCauses(m_causes);
     const bool needsNewConnection =
         m_route->retrySemantics == fleet::RetrySemantics::AtMostOnce
         || (m_route->retrySemantics == fleet::RetrySemantics::Stream && !m_route->isResumable);
@@ -309,7 +309,10 @@
 
 bool Exchange::maySend()
 {
-    return isPlacementUsable() && m_services.targets.tryAcquireSend(m_placement.target.id);
+    if (!isPlacementUsable() || !m_services.targets.tryAcquireSend(m_placement.target.id))
+        return false;
+    m_services.crashes.recordSend(m_causes);
+    return true;
 }
 
 void Exchange::onRequestSent()
@@ -334,8 +337,7 @@
         m_services.targets.recordFailure(keyOf(m_placement.target.id),
                                          failure == SendFailure::NotSent);
         if (failure == SendFailure::Broken && m_send.hasEnded() && !isPromptProven())
-            m_services.crashes.onConnectionLost(m_placement.target, m_send.startedAt(), m_content,
-                                                m_causes);
+            m_services.crashes.onConnectionLost(m_placement.target, m_send.startedAt(), m_causes);
     }
     m_failedTargets.insert(m_placement.target.id);
     handleFailure(failure);
@@ -347,8 +349,9 @@
     const bool mayRetry = step == NextStep::Retry || step == NextStep::ResumeElsewhere;
     // The retry budget counts a send only if an earlier one reached a target.
     const bool isRetry = m_history.sends > 0;
-    // The next engine would crash as well.
-    const bool isUnsafe = !isPromptProven() && m_services.crashes.isSuspected(m_causes);
+    // The next target might crash as well. A first crash says little: the request is one of many.
+    const bool isUnsafe = failure == SendFailure::Broken && !isPromptProven()
+                          && m_services.crashes.isSuspected(m_causes);
     const bool isAllowed = mayRetry && !isUnsafe && timeLeft() > Milliseconds()
                            && (!isRetry || m_services.ingress.tryAcquireRetry(m_service->id));
     m_services.metrics.countSendFailure(m_placement.target.id, failure);
@@ -427,7 +430,7 @@
 {
     if (m_isOver || m_route == nullptr || m_awaitsConfiguration || m_history.isResponseStarted)
         return;
-    const std::optional<Milliseconds> blocked = m_services.crashes.blockedFor(m_causes);
+    const std::optional<Milliseconds> blocked = m_services.crashes.endedFor(m_causes);
     if (!blocked)
         return;
     const std::shared_ptr<Exchange> self = shared_from_this();
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -164,8 +164,8 @@
     const fleet::Route *m_route = nullptr;
     const fleet::ServiceSpec *m_service = nullptr;
     TeamId m_team;
-    limits::Cause m_content; ///< The request, whatever its attempt and connection.
-    std::vector<limits::Cause> m_causes; ///< By which the request is known if it crashes targets.
+    /// The request itself and the shared parts of its prompt: what is blocked if targets crash.
+    std::vector<limits::Cause> m_causes;
     Milliseconds m_arrivedAt;
     Milliseconds m_deadline;
     limits::SendHistory m_history;
--- a/apps/node/peer_message.capnp
+++ b/apps/node/peer_message.capnp
@@ -106,6 +106,8 @@
   leftMs @2 :UInt32;
   isRequest @3 :Bool;
   # The id is that of the content of a request, otherwise that of a part of prompts.
+  isTrial @4 :Bool;
+  # The block had ended, and one request is being sent again.
 }
 
 struct TargetLimit {
--- a/apps/node/peer_messages.cpp
+++ b/apps/node/peer_messages.cpp
@@ -191,6 +191,7 @@
     for (unsigned i = 0; i < news.blocked.size(); ++i) {
         blocked[i].setId(news.blocked[i].cause.id);
         blocked[i].setIsRequest(news.blocked[i].cause.kind == CauseKind::Request);
+        blocked[i].setIsTrial(news.blocked[i].block.isTrial);
         blocked[i].setAgeMs(durationField(now - news.blocked[i].block.from));
         blocked[i].setLeftMs(durationField(news.blocked[i].block.until - now));
     }
@@ -213,9 +214,10 @@
     }
     for (const wire::CauseBlock::Reader blocked : message.getBlocked()) {
         const CauseKind kind = blocked.getIsRequest() ? CauseKind::Request : CauseKind::PromptPart;
-        news.blocked.push_back({ { kind, blocked.getId() },
-                                 { now - Milliseconds(blocked.getAgeMs()),
-                                   now + Milliseconds(blocked.getLeftMs()) } });
+        news.blocked.push_back(
+            { { kind, blocked.getId() },
+              { now - Milliseconds(blocked.getAgeMs()), now + Milliseconds(blocked.getLeftMs()),
+                blocked.getIsTrial() } });
     }
     for (const std::uint64_t id : message.getSoundParts())
         news.sound.push_back({ CauseKind::PromptPart, id });
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -185,7 +185,10 @@
     out.crashes.insert(out.crashes.end(), news.crashes.begin(), news.crashes.end());
     out.blocked.insert(out.blocked.end(), news.blocked.begin(), news.blocked.end());
     out.sound.insert(out.sound.end(), news.sound.begin(), news.sound.end());
-    scheduleFlush(Audience::Fleet, placementFlushDelay);
+    // After the crash of a target, many requests prove sound one after the other.
+    const bool isUrgent = !news.crashes.empty() || !news.blocked.empty();
+    scheduleFlush(Audience::Fleet,
+                  isUrgent ? placementFlushDelay : progressFlushDelay(Audience::Fleet));
 }
 
 void PeerService::sendCrashNews(const std::string &host, const CrashNews &news)
--- a/include/egretmount/limits/crash_causes.h
+++ b/include/egretmount/limits/crash_causes.h
@@ -39,22 +39,32 @@
 
 /// @brief Number of crashes after which a cause is blocked, and their least time span.
 ///
-/// Engines that fail together, such as those of an availability zone, crash at almost the same
-/// moment; a prompt crashes one engine after the other.
+/// Targets that fail together, such as those of an availability zone, crash at almost the same
+/// moment; a request crashes one target after the other.
 constexpr std::size_t minCrashesToBlock = 3;
 constexpr Milliseconds minCrashSpan = Milliseconds(700);
 
 /// @brief How long a cause is blocked for the first time.
 ///
-/// One crash within as long a time after that blocks it again, for twice the time.
+/// One crash within `crashMemory` after that blocks it again, for twice the time.
 constexpr Milliseconds causeBlockTime = Milliseconds(600'000);
 constexpr Milliseconds maxCauseBlockTime = Milliseconds(86'400'000);
 
+/// @brief How long a request is blocked whose crashes span less than `minCrashSpan`.
+///
+/// Its repeats may have crashed all targets of a service within that span. A sound one that was
+/// running on three targets that failed together is served after this time; one crash more blocks
+/// the request for `causeBlockTime`.
+constexpr Milliseconds shortBlockTime = Milliseconds(10'000);
+
 /// @brief How long a crash counts as evidence.
 constexpr Milliseconds crashMemory = Milliseconds(300'000);
 
-/// @brief How long after its last use a cause is remembered, and so known to be sound.
-constexpr Milliseconds causeMemory = Milliseconds(1'200'000);
+/// @brief How long after its last use a part of prompts is remembered, and so known to be sound.
+constexpr Milliseconds partMemory = Milliseconds(1'200'000);
+
+/// @brief The same of a whole request. Most requests come only once.
+constexpr Milliseconds requestMemory = Milliseconds(60'000);
 
 /// @brief Crashes of one target within this time are one crash, seen by several instances.
 constexpr Milliseconds sameCrashTime = Milliseconds(500);
@@ -65,9 +75,10 @@
 
 /// @name Bounds of the state
 /// @{
-constexpr std::size_t maxKnownCauses = 20'000;
+constexpr std::size_t maxKnownParts = 20'000;
+constexpr std::size_t maxKnownRequests = 10'000;
 constexpr std::size_t maxTargetCrashes = 256;
-constexpr std::size_t maxCausesPerCrash = 64;
+constexpr std::size_t maxCausesPerCrash = 128; // of all requests that run or wait at a target
 constexpr std::size_t maxBlockedCauses = 64;
 constexpr std::size_t maxCauseRoutes = 1'000;
 /// @}
@@ -94,13 +105,22 @@
 {
     Milliseconds from;
     Milliseconds until;
+    bool isTrial = false; ///< It had ended, and holds back all requests but the one on trial.
+};
+
+/// @brief A cause and its block.
+struct BlockedCause
+{
+    Cause cause;
+    CauseBlock block;
 };
 
 /// @brief What is suspected to crash targets, and what is known to.
 ///
 /// A crash implicates the causes in all requests that the target had not answered, or not been
-/// writing on for long. Those that a target has survived are sound for good. A cause is blocked
-/// once it is implicated in `minCrashesToBlock` crashes that no other blocked cause explains.
+/// writing on for long. Those that a target has survived are sound as long as they are remembered.
+/// A cause is blocked once it is implicated in `minCrashesToBlock` crashes that no other blocked
+/// cause explains: a part of prompts by instances that have received it, a request by all.
 struct CrashCauses
 {
     std::map<Cause, CauseUse> uses;
@@ -109,9 +129,12 @@
     std::map<std::uint64_t, double>
         receivedByRoute; ///< Requests that this instance received lately.
     Milliseconds decayedAt;
+    /// Identifies this instance. Those with different ids allow a request whose block has ended one
+    /// after the other within `shortBlockTime`, so that one of them tries first.
+    std::uint64_t instance = 0;
 };
 
-/// @brief Counts a request that this instance has received.
+/// @brief Counts the parts of the prompt of a request that this instance has received.
 /// @param route Identifies its route.
 void recordRequest(CrashCauses &state, std::uint64_t route, const std::vector<Cause> &causes,
                    Milliseconds now);
@@ -133,8 +156,16 @@
 std::vector<Cause> recordCrash(CrashCauses &state, std::uint64_t target,
                                const std::vector<Cause> &causes, Milliseconds at, Milliseconds now);
 
+/// @brief Records that a request is sent.
+///
+/// If one of its causes was blocked until lately, the request is on trial: it holds back the others
+/// with the cause for `shortBlockTime`. If a target survives it, they are free at once.
+/// @return The causes that are held back.
+std::vector<BlockedCause> recordSend(CrashCauses &state, const std::vector<Cause> &causes,
+                                     Milliseconds now);
+
 /// @brief Records that another instance blocks a cause.
-/// @return False if it was blocked already, or is known to be sound.
+/// @return False if it was blocked for as long already, or is known to be sound.
 bool recordBlock(CrashCauses &state, const Cause &cause, const CauseBlock &block, Milliseconds now);
 
 /// @brief Returns the number of crashes that implicate a cause and that no blocked one explains.
@@ -148,6 +179,13 @@
 std::optional<Milliseconds> blockedFor(const CrashCauses &state, const std::vector<Cause> &causes,
                                        Milliseconds now);
 
+/// @brief Returns for how long a request that has been sent would be blocked; nothing if it may
+/// run.
+///
+/// A request on trial is not held back by its own block.
+std::optional<Milliseconds> endedFor(const CrashCauses &state, const std::vector<Cause> &causes,
+                                     Milliseconds now);
+
 /// @brief Removes what has expired and keeps the state within its bounds. Call this regularly.
 void removeExpired(CrashCauses &state, Milliseconds now);
 
--- a/src/limits/crash_causes.cpp
+++ b/src/limits/crash_causes.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
+
+#include <egretmount/core/random.h>
 
 namespace egretmount::limits {
 
@@ -10,11 +13,14 @@
 // Counts of received prompts are halved at this interval, so that they follow the present load.
 constexpr Milliseconds decayInterval = Milliseconds(30'000);
 
+// Instances that learn of one block from each other compute ends that differ by less.
+constexpr Milliseconds sameBlockTime = Milliseconds(1'000);
+
 // A crash that a blocked cause was implicated in says nothing about the other causes.
 bool isExplained(const CrashCauses &state, const TargetCrash &crash, const Cause &except)
 {
-    return std::any_of(crash.causes.begin(), crash.causes.end(), [&](const Cause &cause) {
-        return !(cause == except) && state.blocked.count(cause) > 0;
+    return std::any_of(state.blocked.begin(), state.blocked.end(), [&](const auto &blocked) {
+        return !(blocked.first == except) && crash.causes.count(blocked.first) > 0;
     });
 }
 
@@ -23,9 +29,11 @@
     return crash.causes.count(cause) > 0 && !isExplained(state, crash, cause);
 }
 
-// Instances that have not received the cause themselves leave the decision to those that have.
+// Instances that have not received a part themselves leave the decision to those that have.
 bool isBlockable(const CrashCauses &state, const Cause &cause)
 {
+    if (cause.kind == CauseKind::Request)
+        return !isSound(state, cause);
     const auto found = state.uses.find(cause);
     if (found == state.uses.end() || found->second.isSound || found->second.received <= 0)
         return false;
@@ -34,7 +42,8 @@
            && found->second.received <= maxBlockableShare * ofRoute->second;
 }
 
-bool isProvenToCrash(const CrashCauses &state, const Cause &cause)
+// The time between the first and the last crash that count against a cause.
+Milliseconds crashSpan(const CrashCauses &state, const Cause &cause)
 {
     std::optional<Milliseconds> first;
     Milliseconds last;
@@ -44,7 +53,18 @@
         first = std::min(first.value_or(crash.at), crash.at);
         last = std::max(last, crash.at);
     }
-    return crashCount(state, cause) >= minCrashesToBlock && last - *first >= minCrashSpan;
+    return first ? last - *first : Milliseconds();
+}
+
+bool isProvenToCrash(const CrashCauses &state, const Cause &cause)
+{
+    return crashCount(state, cause) >= minCrashesToBlock
+           && (cause.kind == CauseKind::Request || crashSpan(state, cause) >= minCrashSpan);
+}
+
+Milliseconds firstBlockTime(const CrashCauses &state, const Cause &cause)
+{
+    return crashSpan(state, cause) < minCrashSpan ? shortBlockTime : causeBlockTime;
 }
 
 TargetCrash &crashOf(CrashCauses &state, std::uint64_t target, Milliseconds at)
@@ -67,30 +87,65 @@
 {
     std::vector<Cause> causes;
     for (auto &[cause, block] : state.blocked) {
-        if (now < block.until || crash.causes.count(cause) == 0)
+        if ((now < block.until && !block.isTrial) || crash.causes.count(cause) == 0)
             continue;
-        const Milliseconds time = std::min((block.until - block.from) * 2, maxCauseBlockTime);
+        const Milliseconds time =
+            std::clamp((block.until - block.from) * 2, causeBlockTime, maxCauseBlockTime);
         block = { now, now + time };
         causes.push_back(cause);
     }
     return causes;
 }
 
-// Keeps the causes that were used last.
-void boundUses(std::map<Cause, CauseUse> &uses)
+// When this instance allows requests again whose cause is blocked.
+Milliseconds endOf(const CrashCauses &state, const Cause &cause, const CauseBlock &block)
+{
+    if (state.instance == 0)
+        return block.until;
+    const std::uint64_t turn =
+        Random(state.instance ^ cause.id).below(static_cast<std::uint64_t>(shortBlockTime.count()));
+    return block.until + Milliseconds(static_cast<std::int64_t>(turn));
+}
+
+template<typename Counts>
+std::optional<Milliseconds> longestBlock(const CrashCauses &state, const std::vector<Cause> &causes,
+                                         Milliseconds now, const Counts &counts)
+{
+    std::optional<Milliseconds> longest;
+    for (const Cause &cause : causes) {
+        const auto found = state.blocked.find(cause);
+        if (found == state.blocked.end() || !counts(found->second))
+            continue;
+        const Milliseconds left = endOf(state, cause, found->second) - now;
+        if (left > Milliseconds())
+            longest = std::max(longest.value_or(Milliseconds()), left);
+    }
+    return longest;
+}
+
+// Keeps those causes of a kind that were used last.
+void boundUses(std::map<Cause, CauseUse> &uses, CauseKind kind, std::size_t maxCount)
 {
-    if (uses.size() <= maxKnownCauses)
-        return;
     std::vector<Milliseconds> times;
-    times.reserve(uses.size());
-    for (const auto &[cause, use] : uses)
-        times.push_back(use.usedAt);
+    for (const auto &[cause, use] : uses) {
+        if (cause.kind == kind)
+            times.push_back(use.usedAt);
+    }
+    if (times.size() <= maxCount)
+        return;
     const std::vector<Milliseconds>::iterator oldestKept =
-        times.end() - static_cast<std::ptrdiff_t>(maxKnownCauses / 2);
+        times.end() - static_cast<std::ptrdiff_t>(maxCount / 2);
     std::nth_element(times.begin(), oldestKept, times.end());
-    for (auto position = uses.begin(); position != uses.end();)
-        position =
-            position->second.usedAt < *oldestKept ? uses.erase(position) : std::next(position);
+    for (auto position = uses.begin(); position != uses.end();) {
+        const bool isRemoved =
+            position->first.kind == kind && position->second.usedAt < *oldestKept;
+        position = isRemoved ? uses.erase(position) : std::next(position);
+    }
+}
+
+Milliseconds memoryOf(CauseKind kind)
+{
+    return kind == CauseKind::Request ? requestMemory : partMemory;
 }
 
 } // namespace
@@ -98,6 +153,9 @@
 void recordRequest(CrashCauses &state, std::uint64_t route, const std::vector<Cause> &causes,
                    Milliseconds now)
 {
+    const auto isPart = [](const Cause &cause) { return cause.kind == CauseKind::PromptPart; };
+    if (std::none_of(causes.begin(), causes.end(), isPart))
+        return;
     if (now - state.decayedAt >= decayInterval) {
         state.decayedAt = now;
         for (auto &[id, received] : state.receivedByRoute)
@@ -109,6 +167,8 @@
         state.receivedByRoute.clear(); // routes of earlier configurations
     state.receivedByRoute[route] += 1;
     for (const Cause &cause : causes) {
+        if (!isPart(cause))
+            continue;
         CauseUse &use = state.uses[cause];
         use.usedAt = now;
         use.received += 1;
@@ -155,24 +215,30 @@
             crash.causes.insert(cause);
     }
     std::vector<Cause> newlyBlocked = reblockExpired(state, crash, now);
-    // Parts that are implicated in as many crashes cannot be told apart and are blocked together.
-    std::size_t mostCrashes = 0;
+    // Causes that are implicated in as many crashes cannot be told apart and are blocked together,
+    // but a request rather than the parts that it shares with others.
+    std::pair<std::size_t, bool> best;
     std::vector<Cause> candidates;
     for (const Cause &cause : crash.causes) {
         if (state.blocked.count(cause) > 0 || !isBlockable(state, cause)
             || !isProvenToCrash(state, cause))
             continue;
-        const std::size_t count = crashCount(state, cause);
-        if (count > mostCrashes)
+        const std::pair<std::size_t, bool> rank(crashCount(state, cause),
+                                                cause.kind == CauseKind::Request);
+        if (rank > best)
             candidates.clear();
-        mostCrashes = std::max(mostCrashes, count);
-        if (count == mostCrashes)
+        best = std::max(best, rank);
+        if (rank == best)
             candidates.push_back(cause);
     }
-    for (const Cause &cause : candidates) {
+    // All times first, as a blocked cause explains the crashes of the others.
+    std::map<Cause, CauseBlock> blocks;
+    for (const Cause &cause : candidates)
+        blocks[cause] = { now, now + firstBlockTime(state, cause) };
+    for (const auto &[cause, block] : blocks) {
         if (state.blocked.size() >= maxBlockedCauses)
             break;
-        state.blocked[cause] = { now, now + causeBlockTime };
+        state.blocked[cause] = block;
         newlyBlocked.push_back(cause);
     }
     return newlyBlocked;
@@ -186,11 +252,25 @@
     const bool isNew = known == state.blocked.end();
     if (isNew && state.blocked.size() >= maxBlockedCauses)
         return false;
-    if (isNew || known->second.until <= now) {
-        state.blocked[cause] = block;
-        return true;
+    if (!isNew && now < known->second.until && block.until <= known->second.until + sameBlockTime)
+        return false;
+    state.blocked[cause] = block;
+    return true;
+}
+
+std::vector<BlockedCause> recordSend(CrashCauses &state, const std::vector<Cause> &causes,
+                                     Milliseconds now)
+{
+    std::vector<BlockedCause> heldBack;
+    for (const Cause &cause : causes) {
+        const auto found = state.blocked.find(cause);
+        if (found == state.blocked.end())
+            continue;
+        found->second.until = now + shortBlockTime;
+        found->second.isTrial = true;
+        heldBack.push_back({ cause, found->second });
     }
-    return false;
+    return heldBack;
 }
 
 std::size_t crashCount(const CrashCauses &state, const Cause &cause)
@@ -211,28 +291,31 @@
 std::optional<Milliseconds> blockedFor(const CrashCauses &state, const std::vector<Cause> &causes,
                                        Milliseconds now)
 {
-    std::optional<Milliseconds> longest;
-    for (const Cause &cause : causes) {
-        const auto found = state.blocked.find(cause);
-        if (found != state.blocked.end() && now < found->second.until)
-            longest = std::max(longest.value_or(Milliseconds()), found->second.until - now);
-    }
-    return longest;
+    return longestBlock(state, causes, now, [](const CauseBlock &) { return true; });
+}
+
+std::optional<Milliseconds> endedFor(const CrashCauses &state, const std::vector<Cause> &causes,
+                                     Milliseconds now)
+{
+    return longestBlock(state, causes, now, [](const CauseBlock &block) { return !block.isTrial; });
 }
 
 void removeExpired(CrashCauses &state, Milliseconds now)
 {
     for (auto position = state.blocked.begin(); position != state.blocked.end();) {
         const CauseBlock &block = position->second;
-        const bool isForgotten = now >= block.until + (block.until - block.from);
+        const bool isForgotten =
+            now >= block.until + std::max(block.until - block.from, crashMemory);
         position = isForgotten ? state.blocked.erase(position) : std::next(position);
     }
     while (!state.crashes.empty() && now - state.crashes.front().at >= crashMemory)
         state.crashes.pop_front();
     for (auto position = state.uses.begin(); position != state.uses.end();)
-        position = now - position->second.usedAt >= causeMemory ? state.uses.erase(position)
-                                                                : std::next(position);
-    boundUses(state.uses);
+        position = now - position->second.usedAt >= memoryOf(position->first.kind)
+                       ? state.uses.erase(position)
+                       : std::next(position);
+    boundUses(state.uses, CauseKind::PromptPart, maxKnownParts);
+    boundUses(state.uses, CauseKind::Request, maxKnownRequests);
 }
 
 } // namespace egretmount::limits
--- a/tests/parts/limits_crash_causes_test.cpp
+++ b/tests/parts/limits_crash_causes_test.cpp
@@ -17,6 +17,8 @@
 constexpr Cause first { CauseKind::PromptPart, 1 }; // common to all prompts of the route
 constexpr Cause bad { CauseKind::PromptPart, 2 };
 constexpr Cause rare { CauseKind::PromptPart, 3 };
+constexpr Cause badContent { CauseKind::Request, 4 };
+constexpr Cause otherContent { CauseKind::Request, 5 };
 constexpr std::uint64_t route = 7;
 
 Cause partOf(std::uint64_t id)
@@ -149,6 +151,76 @@
     CHECK(suspects.crashes.empty());
 }
 
+TEST_CASE("a request is blocked at its third crash, for a short time if all came at once")
+{
+    CrashCauses state;
+    recordCrash(state, 101, { badContent }, 1'000_ms, 1'000_ms);
+    recordCrash(state, 102, { badContent }, 1'060_ms, 1'060_ms);
+    CHECK(recordCrash(state, 103, { badContent }, 1'250_ms, 1'250_ms)
+          == std::vector { badContent });
+    CHECK(isBlocked(state, badContent, 1'249_ms + shortBlockTime));
+    CHECK_FALSE(isBlocked(state, badContent, 1'250_ms + shortBlockTime));
+    // One crash more.
+    const Milliseconds later = 1'300_ms + shortBlockTime;
+    removeExpired(state, later);
+    CHECK(recordCrash(state, 101, { badContent }, later, later) == std::vector { badContent });
+    CHECK(isBlocked(state, badContent, later + causeBlockTime - 1_ms));
+}
+
+TEST_CASE("a request whose crashes are apart is blocked for the whole time")
+{
+    CrashCauses state;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
+        recordCrash(state, target, { badContent }, at, at);
+    }
+    CHECK(isBlocked(state, badContent, 2'999_ms + causeBlockTime));
+}
+
+// Guards against the block of a part that sound prompts hold, too.
+TEST_CASE("a request is blocked rather than the part of its prompt that fell with it")
+{
+    CrashCauses state = usedState(0_ms);
+    recordRequest(state, route, { badContent, rare }, 0_ms);
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
+        recordCrash(state, target, { badContent, rare }, at, at);
+    }
+    CHECK(isBlocked(state, badContent, 3'000_ms));
+    CHECK_FALSE(isBlocked(state, rare, 3'000_ms));
+    // Prompts that share nothing but the part.
+    CrashCauses other = usedState(0_ms);
+    recordRequest(other, route, { badContent, rare }, 0_ms);
+    recordCrash(other, 1, { badContent, rare }, 1'000_ms, 1'000_ms);
+    recordCrash(other, 2, { badContent, rare }, 2'000_ms, 2'000_ms);
+    CHECK(recordCrash(other, 3, { otherContent, rare }, 3'000_ms, 3'000_ms)
+          == std::vector { rare });
+}
+
+TEST_CASE("a request that was answered once is never blocked")
+{
+    CrashCauses state;
+    recordSound(state, { badContent }, 0_ms);
+    for (std::uint64_t target = 1; target <= 10; ++target) {
+        const Milliseconds at(static_cast<std::int64_t>(target) * 1'000);
+        CHECK(recordCrash(state, target, { badContent }, at, at).empty());
+    }
+    CHECK_FALSE(isSuspected(state, { badContent }));
+}
+
+// Guards against callers whose many requests displace what is known of prompts.
+TEST_CASE("requests that come once displace no parts of prompts")
+{
+    CrashCauses state = usedState(0_ms);
+    recordSound(state, { rare }, 0_ms);
+    for (std::uint64_t i = 0; i < 60'000; ++i)
+        recordSound(state, { { CauseKind::Request, 1'000 + i } },
+                    Milliseconds(static_cast<std::int64_t>(i / 12)));
+    removeExpired(state, 5'000_ms);
+    CHECK(isSound(state, rare));
+    CHECK(state.uses.size() <= maxKnownRequests + 2);
+}
+
 TEST_CASE("the state stays within its bounds whatever parts callers invent")
 {
     CrashCauses suspects;
@@ -163,7 +235,7 @@
     for (int i = 0; i < 500; ++i)
         recordBlock(suspects, partOf(random()), { 60'000_ms, 90'000_ms }, 60'000_ms);
     removeExpired(suspects, 60'000_ms);
-    CHECK(suspects.uses.size() <= maxKnownCauses);
+    CHECK(suspects.uses.size() <= maxKnownParts);
     CHECK(suspects.crashes.size() <= maxTargetCrashes);
     CHECK(suspects.blocked.size() <= maxBlockedCauses);
     CHECK(suspects.receivedByRoute.size() <= maxCauseRoutes);
@@ -183,7 +255,7 @@
         std::size_t from = 0;
         std::size_t to = 0;
         TargetCrash crash;
-        std::vector<Cause> blocked;
+        std::vector<BlockedCause> blocked;
         std::vector<Cause> sound;
     };
 
@@ -202,15 +274,18 @@
         : instances(count)
         , accused(count)
         , random(seed)
-    { }
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            instances[i].instance = 1'000 + i;
+    }
 
     bool occurs(double probability)
     {
         return std::uniform_real_distribution<double>(0, 1)(random) < probability;
     }
 
-    void broadcast(std::size_t from, const TargetCrash &crash, const std::vector<Cause> &blocked,
-                   const std::vector<Cause> &sound)
+    void broadcast(std::size_t from, const TargetCrash &crash,
+                   const std::vector<BlockedCause> &blocked, const std::vector<Cause> &sound)
     {
         for (std::size_t to = 0; to < instances.size(); ++to) {
             if (to != from)
@@ -245,26 +320,48 @@
             if (isSound(instances[message.to], part))
                 reply.sound.push_back(part);
         }
-        for (const Cause &part : message.blocked) {
-            if (isSound(instances[message.to], part))
-                reply.sound.push_back(part);
+        for (const BlockedCause &blocked : message.blocked) {
+            if (isSound(instances[message.to], blocked.cause))
+                reply.sound.push_back(blocked.cause);
         }
         if (!reply.sound.empty())
             send(reply);
     }
 
-    void applyCrash(std::size_t at, const TargetCrash &crash)
+    void applyCrash(std::size_t at, const TargetCrash &crash, bool isOwn)
     {
-        const std::vector<Cause> blocked =
-            recordCrash(instances[at], crash.target, { crash.causes.begin(), crash.causes.end() },
-                        crash.at, now);
-        accused[at].insert(blocked.begin(), blocked.end());
-        if (!blocked.empty())
-            broadcast(at, {}, blocked, {});
+        std::vector<BlockedCause> announced;
+        for (const Cause &cause :
+             recordCrash(instances[at], crash.target, { crash.causes.begin(), crash.causes.end() },
+                         crash.at, now)) {
+            if (!isOwn && cause.kind == CauseKind::Request)
+                continue;
+            accused[at].insert(cause);
+            announced.push_back({ cause, instances[at].blocked.at(cause) });
+        }
+        if (!announced.empty())
+            broadcast(at, {}, announced, {});
+    }
+
+    // Every instance repeats its blocks once a second, in case a message was lost.
+    void sendSnapshots()
+    {
+        for (std::size_t from = 0; from < instances.size(); ++from) {
+            if (now.count() % 1'000 != static_cast<std::int64_t>(from * 997 % 1'000))
+                continue;
+            std::vector<BlockedCause> active;
+            for (const auto &[cause, block] : instances[from].blocked) {
+                if (now < block.until)
+                    active.push_back({ cause, block });
+            }
+            if (!active.empty())
+                broadcast(from, {}, active, {});
+        }
     }
 
     void deliver()
     {
+        sendSnapshots();
         std::vector<Message> due;
         const auto isDue = [&](const Message &message) { return message.at <= now; };
         std::copy_if(network.begin(), network.end(), std::back_inserter(due), isDue);
@@ -272,10 +369,10 @@
         for (const Message &message : due) {
             clear(message);
             replyTo(message);
-            for (const Cause &part : message.blocked)
-                recordBlock(instances[message.to], part, { now, now + causeBlockTime }, now);
+            for (const BlockedCause &blocked : message.blocked)
+                recordBlock(instances[message.to], blocked.cause, blocked.block, now);
             if (!message.crash.causes.empty())
-                applyCrash(message.to, message.crash);
+                applyCrash(message.to, message.crash, false);
         }
     }
 
@@ -322,7 +419,7 @@
         const TargetCrash crash { engine, now, { unproven.begin(), unproven.end() } };
         accused[instance].insert(unproven.begin(), unproven.end());
         broadcast(instance, crash, {}, {});
-        applyCrash(instance, crash);
+        applyCrash(instance, crash, true);
     }
 
     void run(Milliseconds duration, double promptsPerMs, double badPerMs, double neighbourRate,
@@ -369,8 +466,208 @@
     }
 };
 
+// The same instances beside a service with few targets, which are back some seconds after a crash.
+// One request crashes each target that runs it, and comes again and again at any instance; sound
+// requests, no two alike, run beside it and are lost with their targets.
+struct RepeatModel
+{
+    struct Request
+    {
+        Cause content;
+        int sends = 0;
+        int attempts = 0; ///< Of the caller.
+        bool isBad = false;
+    };
+
+    struct Run
+    {
+        Request request;
+        std::size_t instance = 0;
+        std::size_t target = 0;
+        Milliseconds endsAt;
+    };
+
+    struct Retry
+    {
+        Milliseconds at;
+        Request request;
+    };
+
+    static constexpr Milliseconds restartTime { 3'200 };
+    static constexpr int maxSends = 2;
+    static constexpr int maxAttempts = 2;
+
+    FleetModel fleet;
+    std::vector<Milliseconds> upAt; ///< Of each target.
+    std::vector<Run> runs;
+    std::vector<Retry> retries;
+    std::uint64_t lastContent = 100;
+
+    RepeatModel(std::size_t instances, std::size_t targets, std::uint64_t seed)
+        : fleet(instances, seed)
+        , upAt(targets)
+    { }
+
+    void arrive(Request request)
+    {
+        ++request.attempts;
+        request.sends = 0;
+        if (!request.isBad)
+            ++fleet.soundSent;
+        place(fleet.random() % fleet.instances.size(), request);
+    }
+
+    void place(std::size_t instance, Request request)
+    {
+        if (blockedFor(fleet.instances[instance], { request.content }, fleet.now)) {
+            fleet.soundRefused += request.isBad ? 0 : 1;
+            return;
+        }
+        std::vector<std::size_t> up;
+        for (std::size_t target = 0; target < upAt.size(); ++target) {
+            if (upAt[target] <= fleet.now)
+                up.push_back(target);
+        }
+        if (up.empty()) {
+            retry(request);
+            return;
+        }
+        const std::vector<BlockedCause> heldBack =
+            recordSend(fleet.instances[instance], { request.content }, fleet.now);
+        if (!heldBack.empty())
+            fleet.broadcast(instance, {}, heldBack, {});
+        ++request.sends;
+        if (request.isBad)
+            fleet.badArrivals.push_back(fleet.now);
+        const Milliseconds duration(request.isBad ? 80 : 20 + fleet.random() % 80);
+        runs.push_back({ request, instance, up[fleet.random() % up.size()], fleet.now + duration });
+    }
+
+    // The caller tries again soon at any instance.
+    void retry(const Request &request)
+    {
+        if (request.attempts < maxAttempts)
+            retries.push_back({ fleet.now + 50_ms, request });
+    }
+
+    void crash(std::size_t target)
+    {
+        upAt[target] = fleet.now + restartTime;
+        fleet.crashes.push_back(fleet.now);
+        std::vector<Run> lost;
+        std::copy_if(runs.begin(), runs.end(), std::back_inserter(lost),
+                     [target](const Run &run) { return run.target == target; });
+        runs.erase(std::remove_if(runs.begin(), runs.end(),
+                                  [target](const Run &run) { return run.target == target; }),
+                   runs.end());
+        for (const Run &run : lost) {
+            const bool wasSuspected =
+                isSuspected(fleet.instances[run.instance], { run.request.content });
+            fleet.report(run.instance, target, { run.request.content });
+            if (run.request.sends < maxSends && !wasSuspected)
+                place(run.instance, run.request);
+            else
+                retry(run.request);
+        }
+    }
+
+    void endRuns()
+    {
+        for (std::size_t i = 0; i < runs.size();) {
+            const Run run = runs[i];
+            if (run.endsAt > fleet.now) {
+                ++i;
+            } else if (run.request.isBad) {
+                crash(run.target);
+                i = 0;
+            } else {
+                runs.erase(runs.begin() + static_cast<std::ptrdiff_t>(i));
+                const std::vector<Cause> cleared =
+                    recordSound(fleet.instances[run.instance], { run.request.content }, fleet.now);
+                if (!cleared.empty())
+                    fleet.broadcast(run.instance, {}, {}, cleared);
+            }
+        }
+    }
+
+    // The bad request comes `copies` times at once.
+    void run(Milliseconds duration, double soundPerMs, double badPerMs, int copies)
+    {
+        for (; fleet.now < duration; fleet.now += 1_ms) {
+            fleet.deliver();
+            endRuns();
+            std::vector<Retry> due;
+            const auto isDue = [&](const Retry &one) { return one.at <= fleet.now; };
+            std::copy_if(retries.begin(), retries.end(), std::back_inserter(due), isDue);
+            retries.erase(std::remove_if(retries.begin(), retries.end(), isDue), retries.end());
+            for (const Retry &one : due)
+                arrive(one.request);
+            if (fleet.occurs(soundPerMs))
+                arrive({ { CauseKind::Request, ++lastContent } });
+            if (fleet.now >= 2'000_ms && fleet.occurs(badPerMs)) {
+                for (int i = 0; i < copies; ++i)
+                    arrive({ badContent, 0, 0, true });
+            }
+        }
+    }
+
+    std::size_t lateArrivals() const
+    {
+        if (fleet.crashes.size() < 3)
+            return 0;
+        return static_cast<std::size_t>(
+            std::count_if(fleet.badArrivals.begin(), fleet.badArrivals.end(),
+                          [&](Milliseconds at) { return at > fleet.crashes[2] + 3'000_ms; }));
+    }
+};
+
 } // namespace
 
+// Guards against a request that comes again at any instance and crashes the targets as often as
+// they return.
+TEST_CASE("a fleet stops sending a request that crashes its targets")
+{
+    struct Case
+    {
+        std::size_t instances;
+        std::size_t targets;
+        double soundPerMs;
+        double badPerMs;
+        int copies;
+    };
+    for (const Case &load : { Case { 6, 3, 0.02, 0.001, 1 }, Case { 6, 3, 0.02, 0.01, 1 },
+                              Case { 8, 23, 0.1, 0.003, 1 }, Case { 8, 3, 0.05, 0.003, 3 },
+                              Case { 295, 20, 0.3, 0.003, 2 } }) {
+        for (std::uint64_t seed = 1; seed <= (load.instances > 100 ? 3U : 20U); ++seed) {
+            CAPTURE(load.instances);
+            CAPTURE(load.copies);
+            CAPTURE(seed);
+            RepeatModel model(load.instances, load.targets, seed);
+            model.fleet.lossRate = seed % 2 == 0 ? 0.05 : 0;
+            model.run(40'000_ms, load.soundPerMs, load.badPerMs, load.copies);
+            CHECK(model.fleet.crashes.size() >= 3);
+            CHECK(model.lateArrivals() <= 3);
+            CHECK(model.fleet.soundRefused * 500 <= model.fleet.soundSent); // one in 500
+        }
+    }
+}
+
+// Guards against blame for the requests of a service whose targets fail without any request's
+// fault.
+TEST_CASE("targets that fail one after the other block no request that is answered in the end")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        RepeatModel model(8, 3, seed);
+        for (int failure = 1; failure <= 12; ++failure) {
+            model.run(Milliseconds(1'000) * failure, 0.05, 0, 1);
+            model.crash(static_cast<std::size_t>(failure) % 3);
+        }
+        model.run(16'000_ms, 0.05, 0, 1);
+        CHECK(model.fleet.soundRefused == 0);
+    }
+}
+
 // Guards against instances that each learn for themselves, at the cost of engines each.
 TEST_CASE("a fleet stops sending a prompt that crashes engines within the time of contact")
 {
