Find out and log whether an instance reaches any target

Each message between instances says whether its sender reaches targets and when it last did. No decision about requests changes; forwarding, membership, retries and kill tests of node pass.

--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -15,6 +15,7 @@
 #include "peer_service.h"
 #include "placement_service.h"
 #include "platform/settings.h"
+#include "reach_service.h"
 #include "registry_snapshots.h"
 #include "registry_sync.h"
 #include "shutdown_service.h"
@@ -47,6 +48,7 @@
     MetricsService &metrics =
         registry.add(std::make_unique<MetricsService>(reactor, registry, FLAGS_metrics_port));
     metrics.addGauge("log_lines_dropped", [&sink] { return static_cast<double>(sink.dropped()); });
+    registry.add(std::make_unique<ReachService>(reactor, registry));
     registry.add(std::make_unique<TargetPool>(reactor, registry));
     registry.add(std::make_unique<CrashGuard>(reactor, registry));
     registry.add(std::make_unique<PlacementService>(reactor, registry));
--- a/apps/node/peer_message.capnp
+++ b/apps/node/peer_message.capnp
@@ -162,4 +162,8 @@
   # Limits that targets have named, and ends of limits.
   soundRequests @19 :List(UInt64);
   # Ids of contents of requests that a target has survived.
+  reachesNoTarget @20 :Bool;
+  # The sender can connect to no target.
+  contactAgeMs @21 :UInt32 = 0xffffffff;
+  # Time since the sender last had contact with a target.
 }
--- a/apps/node/peer_receiving.cpp
+++ b/apps/node/peer_receiving.cpp
@@ -28,6 +28,7 @@
         const wire::PeerMessage::Reader message = reader.getRoot<wire::PeerMessage>();
         const std::string host = message.getSender();
         applyMembership(host, message);
+        applyReach(host, message);
         applyRequestState(host, message);
         applyCrashNews(host, message);
         applyRegistryState(host, message);
@@ -37,6 +38,20 @@
     }
 }
 
+void PeerService::applyReach(const std::string &host, wire::PeerMessage::Reader message)
+{
+    if (!std::binary_search(m_living.begin(), m_living.end(), InstanceId(host)))
+        return;
+    PeerReach &reach = m_reachOf[host];
+    if (reach.reachesNone != message.getReachesNoTarget())
+        LOG(INFO) << "peers: instance "
+                  << (reach.reachesNone ? "reaches targets again" : "reaches no target")
+                  << " host=" << host;
+    reach.reachesNone = message.getReachesNoTarget();
+    const Milliseconds contactAt = m_reactor.now() - Milliseconds(message.getContactAgeMs());
+    reach.contactAt = std::max(contactAt, Milliseconds());
+}
+
 void PeerService::applyCrashNews(const std::string &host, wire::PeerMessage::Reader message)
 {
     const CrashNews news = readCrashNews(message, m_reactor.now());
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -16,6 +16,7 @@
 #include "fleet_service.h"
 #include "peer_messages.h"
 #include "placement_service.h"
+#include "reach_service.h"
 #include "registry_sync.h"
 #include "target_pool.h"
 
@@ -112,6 +113,8 @@
     m_sync = &m_registry.find<RegistrySync>();
     m_targets = &m_registry.find<TargetPool>();
     m_crashes = &m_registry.find<CrashGuard>();
+    m_reach = &m_registry.find<ReachService>();
+    m_reach->onChanged([this] { announceReach(); });
     const instance::Settings &settings = m_fleet->settings();
     m_memberList.self.host = settings.host;
     m_memberList.self.incarnation =
@@ -375,10 +378,28 @@
     message.setRegistryRevision(m_sync->version().revision);
     message.setRegistryEra(m_sync->version().era);
     message.setRegistryAgeMs(durationField(m_sync->confirmationAge()));
+    message.setReachesNoTarget(m_reach->reachesNone());
+    if (m_reach->contactAt() > Milliseconds())
+        message.setContactAgeMs(durationField(now - m_reach->contactAt()));
     if (m_fleet->table().hadOutage)
         message.setOutageAgeMs(durationField(now - m_fleet->table().outageEndedAt));
 }
 
+void PeerService::announceReach()
+{
+    scheduleFlush(Audience::Fleet, placementFlushDelay); // each message says so
+}
+
+std::optional<Milliseconds> PeerService::contactOfOthers() const
+{
+    std::optional<Milliseconds> latest;
+    for (const auto &[host, reach] : m_reachOf) {
+        if (!reach.reachesNone && reach.contactAt > Milliseconds())
+            latest = std::max(latest.value_or(reach.contactAt), reach.contactAt);
+    }
+    return latest;
+}
+
 void PeerService::announceRegistryVersion()
 {
     const std::vector<InstanceId> receivers =
@@ -403,6 +424,7 @@
         if (!std::binary_search(living.begin(), living.end(), previous)) {
             LOG(INFO) << "peers: instance lost host=" << previous.value;
             m_placement->removeRequestsOfOwner(previous.value);
+            m_reachOf.erase(previous.value);
         }
     }
     m_living = std::move(living);
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -24,6 +25,7 @@
 class FleetService;
 class PlacementService;
 class CrashGuard;
+class ReachService;
 class RegistrySync;
 class TargetPool;
 
@@ -90,6 +92,12 @@
     ///        new version.
     void announceRegistryVersion();
 
+    /// @brief Tells the other instances at once whether this one reaches targets.
+    void announceReach();
+
+    /// @brief Returns when another instance last had contact with a target, if one has.
+    std::optional<Milliseconds> contactOfOthers() const;
+
     /// @brief Returns the hosts that callers may use, without instances that are shutting down.
     std::vector<std::string> servingHosts() const;
 
@@ -117,6 +125,13 @@
         std::optional<int> inFlight;
     };
 
+    /// @brief What another instance states of its connections to targets.
+    struct PeerReach
+    {
+        bool reachesNone = false;
+        Milliseconds contactAt;
+    };
+
     /// @brief A target that is leaving.
     struct Departure
     {
@@ -149,6 +164,7 @@
     void applyMembership(const std::string &host, wire::PeerMessage::Reader message);
     void applyRequestState(const std::string &host, wire::PeerMessage::Reader message);
     void applyCrashNews(const std::string &host, wire::PeerMessage::Reader message);
+    void applyReach(const std::string &host, wire::PeerMessage::Reader message);
     void sendSnapshots();
 
     /// @param audience `Fleet`: without the requests that only the cell knows of.
@@ -172,8 +188,10 @@
     RegistrySync *m_sync = nullptr;
     TargetPool *m_targets = nullptr;
     CrashGuard *m_crashes = nullptr;
+    ReachService *m_reach = nullptr;
     membership::MemberList m_memberList;
     std::vector<InstanceId> m_living;
+    std::map<std::string, PeerReach> m_reachOf; ///< Of other living instances, by host.
     std::shared_ptr<Socket> m_socket;
     placement::Cell m_cell;
     Outbox m_cellOutbox;
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -9,6 +9,7 @@
 #include "fleet_service.h"
 #include "metrics_service.h"
 #include "peer_service.h"
+#include "reach_service.h"
 
 namespace egretmount::node {
 
@@ -77,6 +78,7 @@
     m_fleet = &m_registry.find<FleetService>();
     m_metrics = &m_registry.find<MetricsService>();
     m_peers = &m_registry.find<PeerService>();
+    m_reach = &m_registry.find<ReachService>();
     m_self = InstanceId(m_fleet->settings().host);
     m_metrics->addGauge("limited_targets",
                         [this] { return static_cast<double>(limitsInForce().size()); });
--- a/apps/node/target_pool.h
+++ b/apps/node/target_pool.h
@@ -28,6 +28,7 @@
 class FleetService;
 class MetricsService;
 class PeerService;
+class ReachService;
 
 /// @brief Health and load of one target, as observed by this instance.
 struct TargetHealth
@@ -76,6 +77,9 @@
 
     TargetHealth &health(placement::EngineKey target) { return m_health[target]; }
 
+    /// @brief Returns what is told of the events of connections to targets.
+    ReachService &reach() const { return *m_reach; }
+
     /// @brief Records a successful send.
     void recordSuccess(placement::EngineKey target);
 
@@ -177,6 +181,7 @@
     FleetService *m_fleet = nullptr;
     MetricsService *m_metrics = nullptr;
     PeerService *m_peers = nullptr;
+    ReachService *m_reach = nullptr;
     /// Keyed by target id.
     std::unordered_map<std::string, std::list<std::shared_ptr<IdleConnection>>> m_idle;
     std::unordered_map<placement::EngineKey, TargetHealth> m_health;
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -6,6 +6,7 @@
 
 #include "fleet_service.h"
 #include "platform/orders.h"
+#include "reach_service.h"
 
 namespace egretmount::node {
 
@@ -64,6 +65,7 @@
     }
     m_connectTimer = m_reactor.after(connectTimeout, [this] {
         m_connectTimer = 0;
+        m_pool.reach().onConnectFailed();
         fail(limits::SendFailure::NotSent);
     });
 }
@@ -94,6 +96,7 @@
 void TargetSend::onConnected()
 {
     m_reactor.cancel(m_connectTimer);
+    m_pool.reach().onConnected();
     if (m_listener.maySend())
         writeRequest();
     else
@@ -103,6 +106,7 @@
 void TargetSend::writeRequest()
 {
     m_isSent = true;
+    m_pool.reach().onRequestSent();
     m_connection.stream->write(m_request);
     m_listener.onRequestSent();
 }
@@ -110,6 +114,7 @@
 void TargetSend::onBytes()
 {
     m_pool.health(keyOf(m_target.id)).lastReceivedAt = m_reactor.now();
+    m_pool.reach().onBytes();
     const std::shared_ptr<bool> isAlive = m_isAlive;
     while (*isAlive && !m_isOver) {
         const std::size_t interimBytes = m_interimBytes;
@@ -230,6 +235,7 @@
         return;
     m_end = end;
     if (!m_isSent) {
+        m_pool.reach().onConnectFailed();
         fail(limits::SendFailure::NotSent);
         return;
     }
@@ -305,6 +311,8 @@
 void TargetSend::release(bool mayReuse)
 {
     m_isOver = true;
+    if (m_isSent)
+        m_pool.reach().onRequestEnded();
     m_endCheck.reset();
     m_reactor.cancel(m_endCheckTimer);
     m_reactor.cancel(m_connectTimer);
