Test instances that are cut off from all targets, red

Four instances of which two are cut off, by a library that is loaded into the process: connections hang, are reset, or live on while new ones are refused. The directory goes on naming all four. A resumable stream ends after six events.

--- a/tests/node/support/nodes.cpp
+++ b/tests/node/support/nodes.cpp
@@ -125,8 +125,10 @@
     , m_storeAddress(storeAddress.empty() ? standIn.storeAddress() : storeAddress)
     , m_processes(static_cast<std::size_t>(count))
 {
-    for (int i = 0; i < count; ++i)
+    for (int i = 0; i < count; ++i) {
+        setCut(i, CutMode::None);
         start(i);
+    }
 }
 
 std::string Nodes::host(int index) const
@@ -155,6 +157,20 @@
     return host(index) + ":9464";
 }
 
+std::string Nodes::cutFile(int index) const
+{
+    return m_logFile + ".cut" + std::to_string(index);
+}
+
+void Nodes::setCut(int index, CutMode mode)
+{
+    // Not truncated first: the instance has mapped the file.
+    std::fstream file(cutFile(index), std::ios::in | std::ios::out | std::ios::binary);
+    if (!file)
+        file.open(cutFile(index), std::ios::out | std::ios::binary);
+    file.put(static_cast<char>(mode));
+}
+
 void Nodes::start(int index)
 {
     const std::string path = m_logFile + ".settings" + std::to_string(index);
@@ -171,7 +187,9 @@
          << m_storeAddress << "\"}}";
     file.close();
     m_processes[static_cast<std::size_t>(index)] =
-        Process("egretmount-node", { "--settings=" + path, "--metrics_port=9464" }, m_logFile);
+        Process("egretmount-node", { "--settings=" + path, "--metrics_port=9464" }, m_logFile,
+                { "EGRETMOUNT_TEST_CUT=" + cutFile(index),
+                  "LD_PRELOAD=" EGRETMOUNT_BIN_DIR "/egretmount-network-cut.so" });
 }
 
 std::vector<std::string> Nodes::directory(int index) const
--- a/tests/node/support/nodes.h
+++ b/tests/node/support/nodes.h
@@ -11,6 +11,7 @@
 #include <egretmount/http/body.h>
 #include <egretmount/http/head.h>
 
+#include "support/cut_mode.h"
 #include "support/process.h"
 #include "support/standin.h"
 
@@ -96,6 +97,9 @@
     Process &process(int index) { return m_processes[static_cast<std::size_t>(index)]; }
     const std::string &logFile() const { return m_logFile; }
 
+    /// @brief Cuts an instance off from all targets, or ends that. A restart does not end it.
+    void setCut(int index, CutMode mode);
+
     /// @brief Starts or restarts an instance.
     void start(int index);
 
@@ -113,6 +117,7 @@
 
 private:
     std::string host(int index) const;
+    std::string cutFile(int index) const;
 
     StandIn &m_standIn;
     int m_count;
--- /dev/null
+++ b/tests/node/target_cut_test.cpp
@@ -0,0 +1,292 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/crashing_targets.h"
+#include "support/test_cluster.h"
+
+using namespace egretmount;
+using namespace egretmount::literals;
+using namespace egretmount::tests;
+
+namespace {
+
+constexpr int subnet = 26;
+constexpr int instances = 4;
+constexpr int cutInstances = 2; // the first ones
+constexpr int engines = 6;
+constexpr int plainTargets = 3;
+
+// Time within which a cut instance has to know it, and the others too.
+constexpr Milliseconds contactTime = 3'000_ms;
+
+CallerRequest requestOf(int kind, const std::string &id)
+{
+    switch (kind % 4) {
+    case 0: {
+        CallerRequest request;
+        request.id = id;
+        return request;
+    }
+    case 1:
+        return plainRequest("read", id);
+    case 2:
+        return plainRequest("pay", id);
+    default: {
+        CallerRequest request;
+        request.target = "/fixed/x";
+        request.id = id;
+        return request;
+    }
+    }
+}
+
+Script script(const Arrival &arrival)
+{
+    Script script;
+    const std::string &target = arrival.head.target;
+    script.events = target.find("/read/") == 0 || target.find("/pay/") == 0 ? 0 : 5;
+    script.firstEventDelay = 30_ms;
+    return script;
+}
+
+struct Tries
+{
+    int sent = 0;
+    int served = 0;
+    Milliseconds slowest;
+};
+
+// Sends first tries to each instance, also to those that the directory no longer names, as callers
+// with kept connections and old responses of the directory do.
+std::vector<Tries> sendFirstTries(const Nodes &nodes, int count, Milliseconds duration,
+                                  const std::string &prefix)
+{
+    std::vector<Tries> tries(static_cast<std::size_t>(count));
+    std::vector<std::thread> callers;
+    for (int instance = 0; instance < count; ++instance) {
+        callers.emplace_back([&, instance] {
+            Tries &own = tries[static_cast<std::size_t>(instance)];
+            const Milliseconds start = monotonicNow();
+            for (int i = 0; monotonicNow() - start < duration; ++i) {
+                const std::string id = prefix + std::to_string(instance) + '-' + std::to_string(i);
+                const Response response = nodes.sendRequest(instance, requestOf(i, id));
+                ++own.sent;
+                own.served += response.status == 200 && response.isComplete ? 1 : 0;
+                own.slowest = std::max(own.slowest, response.elapsed);
+                sleepFor(20_ms);
+            }
+        });
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    return tries;
+}
+
+Tries sumOf(const std::vector<Tries> &tries, int from, int to)
+{
+    Tries sum;
+    for (int i = from; i < to; ++i) {
+        const Tries &one = tries[static_cast<std::size_t>(i)];
+        sum.sent += one.sent;
+        sum.served += one.served;
+        sum.slowest = std::max(sum.slowest, one.slowest);
+    }
+    return sum;
+}
+
+// The rule: first tries at cut instances are served two thirds as often as at the others, and no
+// more than 10 + 1 in 50 of all fail there.
+void checkServed(const Tries &cut, const Tries &others)
+{
+    CAPTURE(cut.sent);
+    CAPTURE(cut.served);
+    CAPTURE(others.sent);
+    CAPTURE(others.served);
+    REQUIRE(cut.sent >= 5);
+    REQUIRE(others.sent >= 20);
+    CHECK(others.served == others.sent);
+    CHECK(3.0 * cut.served / cut.sent >= 2.0 * others.served / others.sent);
+    CHECK(cut.sent - cut.served <= 10 + (cut.sent + others.sent) / 50);
+}
+
+int runsOf(const StandIn &standIn, const std::string &id)
+{
+    const std::vector<Arrival> arrivals = standIn.arrivalsOf(id);
+    return static_cast<int>(std::count_if(arrivals.begin(), arrivals.end(),
+                                          [](const Arrival &arrival) { return arrival.ran; }));
+}
+
+std::size_t countLines(const std::string &file, const std::string &text)
+{
+    std::ifstream log(file);
+    std::size_t count = 0;
+    for (std::string line; std::getline(log, line);)
+        count += line.find(text) != std::string::npos ? 1 : 0;
+    return count;
+}
+
+void cut(Nodes &nodes, CutMode mode, int count = cutInstances)
+{
+    for (int i = 0; i < count; ++i)
+        nodes.setCut(i, mode);
+}
+
+void checkCut(CutMode mode)
+{
+    TestCluster cluster(subnet, instances, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(script);
+    sendFirstTries(cluster.nodes, instances, 500_ms, "before");
+    cut(cluster.nodes, mode);
+    sendFirstTries(cluster.nodes, instances, contactTime, "early");
+    const std::vector<Tries> tries = sendFirstTries(cluster.nodes, instances, 4'000_ms, "late");
+    checkServed(sumOf(tries, 0, cutInstances), sumOf(tries, cutInstances, instances));
+    // Callers are told other addresses.
+    for (int i = 0; i < instances; ++i)
+        CHECK(cluster.nodes.directory(i).size() == instances - cutInstances);
+
+    cut(cluster.nodes, CutMode::None);
+    sleepFor(2'000_ms);
+    const std::vector<Tries> after = sendFirstTries(cluster.nodes, instances, 1'000_ms, "after");
+    checkServed(sumOf(after, 0, cutInstances), sumOf(after, cutInstances, instances));
+    for (int i = 0; i < instances; ++i)
+        CHECK(cluster.nodes.directory(i).size() == instances);
+
+    std::map<std::string, int> runs;
+    for (const Arrival &arrival : cluster.standIn.arrivals()) {
+        if (arrival.ran && arrival.head.target.find("/pay/") == 0)
+            ++runs[arrival.requestId];
+    }
+    for (const auto &[id, count] : runs) {
+        CAPTURE(id);
+        CHECK(count == 1);
+    }
+    // A cut instance takes no target for crashed.
+    CHECK(countLines(cluster.nodes.logFile(), "crashes: crash recorded") == 0);
+}
+
+} // namespace
+
+// Guards against instances that reach no target, still get callers, and fail their requests.
+TEST_CASE("callers of instances whose connections to targets hang are served")
+{
+    checkCut(CutMode::Hang);
+}
+
+TEST_CASE("callers of instances whose connections to targets are reset are served")
+{
+    checkCut(CutMode::Reset);
+}
+
+TEST_CASE("callers of instances that open no new connection to targets are served")
+{
+    checkCut(CutMode::RefuseNew);
+}
+
+// Guards against streams that are lost with the connections of a cut instance.
+TEST_CASE("a resumable stream goes on when its instance is cut off from its target")
+{
+    TestCluster cluster(subnet, 3, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript([](const Arrival &arrival) {
+        Script slow = script(arrival);
+        slow.events = 30;
+        slow.eventGap = 100_ms;
+        return slow;
+    });
+    for (const CutMode mode : { CutMode::Hang, CutMode::Reset }) {
+        CallerRequest request;
+        request.id = "long" + std::to_string(static_cast<int>(mode));
+        request.deadlineMs = 10'000;
+        Response response;
+        std::thread caller([&] { response = cluster.nodes.sendRequest(0, request, 12'000_ms); });
+        sleepFor(600_ms);
+        cluster.nodes.setCut(0, mode);
+        caller.join();
+        CAPTURE(response.body);
+        CHECK(response.isComplete);
+        for (int event = 1; event <= 30; ++event) {
+            const std::string id = "id: " + std::to_string(event) + '\n';
+            const std::size_t first = response.body.find(id);
+            CAPTURE(event);
+            CHECK(first != std::string::npos);
+            CHECK(response.body.find(id, first + 1) == std::string::npos);
+        }
+        cluster.nodes.setCut(0, CutMode::None);
+        sleepFor(1'500_ms);
+    }
+}
+
+// Guards against work for callers that have left, behind the instance that passes it on.
+TEST_CASE("a caller that leaves a cut instance ends the work at the target")
+{
+    TestCluster cluster(subnet, 2, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript([](const Arrival &arrival) {
+        Script slow = script(arrival);
+        slow.events = 50;
+        slow.eventGap = 100_ms;
+        return slow;
+    });
+    cluster.nodes.setCut(0, CutMode::Hang);
+    cluster.nodes.sendRequest(0, plainRequest("read", "first"));
+    sleepFor(1'500_ms);
+    const int before = cluster.standIn.abandoned();
+    Caller caller(cluster.nodes.callerAddress(0));
+    CallerRequest request;
+    request.id = "leaving";
+    caller.send(request.text());
+    sleepFor(400_ms);
+    REQUIRE(runsOf(cluster.standIn, "leaving") == 1);
+    caller.close();
+    sleepFor(400_ms);
+    CHECK(cluster.standIn.abandoned() > before);
+}
+
+// Guards against requests that go round between instances of which none reaches a target.
+TEST_CASE("requests are refused soon if no instance reaches a target")
+{
+    TestCluster cluster(subnet, 3, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(script);
+    for (int i = 0; i < 3; ++i)
+        cluster.nodes.setCut(i, CutMode::Hang);
+    sendFirstTries(cluster.nodes, 3, 2'000_ms, "early");
+    for (int i = 0; i < 3; ++i) {
+        const Response response =
+            cluster.nodes.sendRequest(i, plainRequest("pay", "p" + std::to_string(i)));
+        CHECK(response.status == 503);
+        CHECK(response.elapsed < 1'500_ms);
+        CHECK(cluster.nodes.directory(i).size() == 3);
+    }
+}
+
+// Guards against an instance that is taken for cut off because its targets are dead or silent.
+TEST_CASE("dead and silent targets are not taken for a cut")
+{
+    TestCluster cluster(subnet, 2, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript([](const Arrival &arrival) {
+        Script silent = script(arrival);
+        silent.firstEventDelay = 1'200_ms;
+        return silent;
+    });
+    const Response response = cluster.nodes.sendRequest(0, requestOf(0, "silent"));
+    CHECK(response.status == 200);
+    CHECK(cluster.standIn.arrivalsOf("silent").size() == 1);
+    cluster.standIn.setScript(script);
+    for (int number = 1; number <= engines / 2; ++number)
+        cluster.standIn.killTarget(number);
+    const std::vector<Tries> tries = sendFirstTries(cluster.nodes, 2, 1'500_ms, "dead");
+    CHECK(countLines(cluster.nodes.logFile(), "reach: no target reached") == 0);
+    CHECK(sumOf(tries, 0, 2).served * 10 >= sumOf(tries, 0, 2).sent * 9);
+}
--- a/tests/processes/support/process.cpp
+++ b/tests/processes/support/process.cpp
@@ -12,7 +12,7 @@
 namespace egretmount::tests {
 
 Process::Process(const std::string &program, const std::vector<std::string> &arguments,
-                 const std::string &logFile)
+                 const std::string &logFile, const std::vector<std::string> &environment)
 {
     std::string path = std::string(EGRETMOUNT_BIN_DIR) + "/" + program;
     std::vector<std::string> words = arguments;
@@ -21,6 +21,14 @@
         argv.push_back(word.data());
     argv.push_back(nullptr);
 
+    std::vector<std::string> variables = environment;
+    for (char **variable = environ; *variable != nullptr; ++variable)
+        variables.emplace_back(*variable);
+    std::vector<char *> envp;
+    for (std::string &variable : variables)
+        envp.push_back(variable.data());
+    envp.push_back(nullptr);
+
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     const int flags = O_WRONLY | O_CREAT | O_APPEND;
@@ -29,7 +37,8 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     // A listening socket of the test must not live on in the child once the test closes it.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    const int error = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
+    const int error =
+        posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), envp.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
         throw std::runtime_error("cannot start " + path);
--- a/tests/processes/support/process.h
+++ b/tests/processes/support/process.h
@@ -15,8 +15,9 @@
 
     /// @param program Name of a binary of this build.
     /// @param logFile Receives the standard error.
+    /// @param environment Further variables, as `NAME=value`.
     Process(const std::string &program, const std::vector<std::string> &arguments,
-            const std::string &logFile);
+            const std::string &logFile, const std::vector<std::string> &environment = {});
     ~Process();
 
     Process(Process &&other) noexcept;
