Pass requests on through other instances while no target is reached

Callers of instances that the network had cut off from all targets were failed or timed out: such an instance took each target for faulty by itself, tried one after the other for 400 ms each, and was named to callers all the while.

Cause: a failure was put down to the far end only. An instance that reaches no target (three probes to different zones failed since its last connection) now passes requests on to one that does, over HTTP on the second peer port: once, with the caller's key, the time left and the number of targets that may have run it. An instance that has received a request so and reaches none either declines it as not executed; a refusal for want of capacity goes to the caller with its Retry-After. Requests and resumable streams whose connection is silent for 0.5 s meanwhile are moved. Closing, back pressure and resumption work over both hops. The directory leaves out instances that reach none, unless all do not.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -14,6 +14,7 @@
 #include "id_text.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
+#include "relay_service.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -48,12 +49,13 @@
 
 Exchange::Exchange(const ExchangeServices &services,
                    std::shared_ptr<net::ServerConnection> connection, http::RequestHead head,
-                   net::RequestBody body)
+                   net::RequestBody body, RequestSource source)
     : m_services(services)
     , m_connection(std::move(connection))
     , m_requestHead(std::move(head))
     , m_body(std::move(body.bytes))
     , m_bodyDigest(body.digest)
+    , m_source(source)
     , m_caller(platform::readCallerFields(m_requestHead))
     , m_arrivedAt(services.reactor.now())
     , m_send(services.reactor, services.targets, *this)
@@ -69,6 +71,8 @@
 void Exchange::start(double randomValue)
 {
     m_randomValue = randomValue;
+    if (m_source == RequestSource::Instance)
+        m_history.sends = m_history.possibleExecutions = m_caller.earlierSends;
     const std::weak_ptr<Exchange> weak = weak_from_this();
     m_connection->onDisconnect([weak] {
         if (const std::shared_ptr<Exchange> self = weak.lock())
@@ -96,7 +100,8 @@
     if (m_caller.deadline)
         timeout = std::min(timeout, *m_caller.deadline);
     m_deadline = m_arrivedAt + timeout;
-    m_services.ingress.recordRequest(m_service->id);
+    if (m_source == RequestSource::Caller) // otherwise the other instance has counted it
+        m_services.ingress.recordRequest(m_service->id);
     m_services.crashes.recordRequest(m_route->name, m_causes);
     startDeadlineTimer(timeLeft());
     send();
@@ -116,14 +121,16 @@
     const std::string host(
         http::fieldValue(m_requestHead.fields, "Host").value_or(std::string_view()));
     m_route = fleet::findRoute(*m_configuration, host, m_requestHead.target);
+    // The instance that has passed the request on knows its route and its team.
+    const bool isRelayed = m_source == RequestSource::Instance;
     if (m_route == nullptr) {
-        respondWithError(404, "unknown-route");
+        respondWithError(isRelayed ? 503 : 404, "unknown-route");
         return false;
     }
     if (m_configuration->hasTeams && !m_route->isPublic) {
         const fleet::Team *team = fleet::findTeam(*m_configuration, m_caller.apiKey);
         if (team == nullptr) {
-            respondWithError(401, "unknown-key");
+            respondWithError(isRelayed ? 503 : 401, "unknown-key");
             return false;
         }
         m_team = team->id;
@@ -149,6 +156,12 @@
 {
     if (const std::optional<Milliseconds> blocked = m_services.crashes.blockedFor(m_causes))
         return Refusal { RefusalReason::CrashesTargets, *blocked };
+    if (m_services.relay.isNeeded()) {
+        if (m_source == RequestSource::Instance)
+            return Refusal { RefusalReason::NoneReached, {} };
+        if (const std::optional<Placement> relay = m_services.relay.place(m_failedTargets))
+            return *relay;
+    }
     if (!m_service->engine || m_caller.promptTokens == 0)
         return m_services.placement.placePlain(*m_service, m_failedTargets);
     placement::Demand demand;
@@ -272,8 +285,8 @@
         fields.resumeAfter = m_scanner.lastId;
     http::beginNextResponse(m_scanner);
     m_buffer.clear();
-    LOG(INFO) << "placement: sent id=" << m_caller.requestId
-              << " target=" << placement.target.id.value
+    LOG(INFO) << "placement: " << (placement.isRelay ? "relayed" : "sent")
+              << " id=" << m_caller.requestId << " target=" << placement.target.id.value
               << " helpers=" << joinTargets(placement.helpers)
               << " part_ms=" << placement.shardPrefillMs << " tokens=" << m_caller.promptTokens
               << " waited_ms=" << (m_services.reactor.now() - m_arrivedAt).count()
@@ -284,15 +297,22 @@
         m_route->retrySemantics == fleet::RetrySemantics::AtMostOnce
         || (m_route->retrySemantics == fleet::RetrySemantics::Stream && !m_route->isResumable);
     m_sentAt = m_lastEventAt = m_services.reactor.now();
-    m_send.start(placement.target,
-                 platform::forwardedHead(m_requestHead, fields, m_body.size()) + m_body,
-                 m_requestHead.method, m_caller.requestId, needsNewConnection);
+    const std::string head =
+        placement.isRelay ? platform::relayedHead(
+            m_requestHead, { fields.timeLeft, fields.resumeAfter, m_history.possibleExecutions },
+            m_body.size())
+                          : platform::forwardedHead(m_requestHead, fields, m_body.size());
+    m_send.start(placement.target, placement.isRelay ? Receiver::Instance : Receiver::Target,
+                 head + m_body, m_requestHead.method, m_caller.requestId, needsNewConnection);
     scheduleStallCheck();
 }
 
 bool Exchange::isPlacementUsable() const
 {
     const TargetPool &targets = m_services.targets;
+    if (m_placement.isRelay)
+        return !m_services.crashes.blockedFor(m_causes)
+               && m_services.relay.mayReceive(m_placement.target.id);
     return !m_services.crashes.blockedFor(m_causes) && targets.mayReceive(m_placement.target.id)
            && std::all_of(m_placement.helpers.begin(), m_placement.helpers.end(),
                           [&](const TargetId &helper) { return targets.mayHelp(helper); });
@@ -309,7 +329,11 @@
 
 bool Exchange::maySend()
 {
-    if (!isPlacementUsable() || !m_services.targets.tryAcquireSend(m_placement.target.id))
+    if (!isPlacementUsable())
+        return false;
+    if (m_placement.isRelay)
+        return true; // the other instance applies the limits of targets
+    if (!m_services.targets.tryAcquireSend(m_placement.target.id))
         return false;
     m_services.crashes.recordSend(m_causes);
     return true;
@@ -329,8 +353,13 @@
         return;
     }
     endSend();
-    if (failure == SendFailure::Declined) {
+    if (failure == SendFailure::Declined)
         --m_history.possibleExecutions;
+    if (m_placement.isRelay) {
+        onRelayFailed(failure);
+        return;
+    }
+    if (failure == SendFailure::Declined) {
         if (!failedTargetAddress.empty() && failedTargetAddress != m_placement.target.address)
             m_services.ingress.recordFaultyAddress(failedTargetAddress);
     } else {
@@ -343,6 +372,23 @@
     handleFailure(failure);
 }
 
+void Exchange::onRelayFailed(SendFailure failure)
+{
+    ++m_services.targets.health(keyOf(m_placement.target.id)).failuresInRow;
+    m_failedTargets.insert(m_placement.target.id);
+    const std::optional<double> retryAfterSeconds = m_send.responseFields().turnAwaySeconds;
+    if (failure == SendFailure::Declined && retryAfterSeconds) {
+        // It reaches targets, but they have no capacity for the request now.
+        LOG(INFO) << "placement: relay declined id=" << m_caller.requestId
+                  << " instance=" << m_placement.target.id.value
+                  << " retry_after_s=" << *retryAfterSeconds;
+        failRequest("relay-declined",
+                    Milliseconds(static_cast<std::int64_t>(*retryAfterSeconds * 1'000)), 502);
+        return;
+    }
+    handleFailure(failure);
+}
+
 void Exchange::handleFailure(SendFailure failure)
 {
     const NextStep step = limits::nextStep(*m_route, failure, m_history);
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -19,6 +19,8 @@
 class IngressService;
 class MetricsService;
 class CrashGuard;
+class ReachService;
+class RelayService;
 class TargetPool;
 class FleetService;
 
@@ -32,6 +34,14 @@
     IngressService &ingress;
     MetricsService &metrics;
     CrashGuard &crashes;
+    ReachService &reach;
+    RelayService &relay;
+};
+
+/// @brief Who has sent a request to this instance.
+enum class RequestSource {
+    Caller,
+    Instance, ///< Another instance that reaches no target passes a caller's request on.
 };
 
 /// @brief Handles one caller's request, from the complete request to the final response.
@@ -44,7 +54,7 @@
 {
 public:
     Exchange(const ExchangeServices &services, std::shared_ptr<net::ServerConnection> connection,
-             http::RequestHead head, net::RequestBody body);
+             http::RequestHead head, net::RequestBody body, RequestSource source);
     ~Exchange() override;
 
     /// @brief Validates and forwards the request, or waits for the first configuration.
@@ -117,6 +127,13 @@
     void leaveStalledTarget();
     void onStalledTargetProbed(limits::TargetState state);
     bool isTargetStalled() const;
+
+    /// @brief Returns whether the target is silent and this instance reaches no target.
+    bool isCutOff() const;
+
+    /// @brief Passes on what another instance answers for want of capacity; otherwise as
+    ///        `handleFailure`.
+    void onRelayFailed(limits::SendFailure failure);
     void onCallerGone();
     void startDeadlineTimer(Milliseconds delay);
     void onDeadline();
@@ -159,6 +176,7 @@
     http::RequestHead m_requestHead;
     std::string m_body;
     Digest m_bodyDigest;
+    RequestSource m_source;
     platform::CallerFields m_caller;
     std::shared_ptr<const fleet::Configuration> m_configuration;
     const fleet::Route *m_route = nullptr;
@@ -170,7 +188,7 @@
     Milliseconds m_deadline;
     limits::SendHistory m_history;
     std::set<TargetId> m_failedTargets;
-    Placement m_placement;
+    Placement m_placement; ///< Of the last send.
     /// Memory at helper engines; null if only the first engine holds memory for the request.
     std::shared_ptr<MemoryReservations> m_reservations;
     TargetSend m_send;
--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -9,6 +9,7 @@
 
 #include "fleet_service.h"
 #include "ingress_service.h"
+#include "reach_service.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr Milliseconds stallCheckInterval = Milliseconds(150);
+// While no target can be reached, silence of this length means that the connection is cut, too.
+constexpr Milliseconds cutOffSilence = Milliseconds(500);
 
 } // namespace
 
@@ -33,8 +36,18 @@
     });
 }
 
+bool Exchange::isCutOff() const
+{
+    const Milliseconds now = m_services.reactor.now();
+    const TargetHealth &health = m_services.targets.health(keyOf(m_placement.target.id));
+    return !m_placement.isRelay && m_services.reach.reachesNone()
+           && now - std::max({ m_lastEventAt, m_sentAt, health.lastReceivedAt }) >= cutOffSilence;
+}
+
 bool Exchange::isTargetStalled() const
 {
+    if (isCutOff())
+        return true;
     const Milliseconds now = m_services.reactor.now();
     const Milliseconds idleTime = now - m_lastEventAt;
     if (m_placement.entryId == 0)
@@ -83,7 +96,7 @@
         scheduleStallCheck();
         return;
     }
-    if (m_placement.entryId == 0) {
+    if (m_placement.entryId == 0 || isCutOff()) {
         leaveStalledTarget();
         return;
     }
@@ -129,7 +142,8 @@
               << " target=" << stalledTarget.value
               << " quiet_ms=" << (m_services.reactor.now() - m_lastEventAt).count()
               << " events=" << m_scanner.count;
-    m_services.targets.recordFailure(keyOf(stalledTarget), m_service->engine.has_value());
+    if (!m_placement.isRelay && !isCutOff())
+        m_services.targets.recordFailure(keyOf(stalledTarget), m_service->engine.has_value());
     migrateTo(*placement);
 }
 
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -9,6 +9,8 @@
 #include "metrics_service.h"
 #include "peer_service.h"
 #include "placement_service.h"
+#include "reach_service.h"
+#include "relay_service.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -40,6 +42,8 @@
     m_targets = &m_registry.find<TargetPool>();
     m_metrics = &m_registry.find<MetricsService>();
     m_crashes = &m_registry.find<CrashGuard>();
+    m_reach = &m_registry.find<ReachService>();
+    m_relay = &m_registry.find<RelayService>();
     addGauges();
     m_fleet->onConfigured([this] { resumeAfterConfiguration(); });
     m_placement->onLongPrefill(
@@ -129,19 +133,27 @@
 
 void IngressService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
                                http::RequestHead head, net::RequestBody body)
+{
+    accept(connection, std::move(head), std::move(body), RequestSource::Caller);
+}
+
+void IngressService::accept(const std::shared_ptr<net::ServerConnection> &connection,
+                            http::RequestHead head, net::RequestBody body, RequestSource source)
 {
     m_lastRequestAt = m_reactor.now();
     if (m_refusesNew) {
         std::string fields;
         platform::appendRetryAfter(fields, stoppingRetryAfter);
+        if (source == RequestSource::Instance)
+            platform::appendNotExecuted(fields);
         connection->respond(503, http::reasonPhrase(503), fields, {});
         LOG(INFO) << "ingress: refused status=503 reason=\"stopping\"";
         return;
     }
-    const std::shared_ptr<Exchange> exchange =
-        std::make_shared<Exchange>(ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets,
-                                                      *this, *m_metrics, *m_crashes },
-                                   connection, std::move(head), std::move(body));
+    const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
+        ExchangeServices { m_reactor, *m_fleet, *m_placement, *m_targets, *this, *m_metrics,
+                           *m_crashes, *m_reach, *m_relay },
+        connection, std::move(head), std::move(body), source);
     m_exchanges.emplace(exchange.get(), exchange);
     const double randomValue = std::uniform_real_distribution<double>(0, 1)(m_random);
     exchange->start(randomValue);
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -37,6 +37,10 @@
     std::string_view name() const override { return serviceName; }
     void start() override;
 
+    /// @brief Begins to handle a complete request.
+    void accept(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
+                net::RequestBody body, RequestSource source);
+
     /// @brief Closes the listener and all idle connections. Busy connections are closed after their
     ///        current response.
     void stopAccepting();
@@ -89,6 +93,8 @@
     TargetPool *m_targets = nullptr;
     MetricsService *m_metrics = nullptr;
     CrashGuard *m_crashes = nullptr;
+    ReachService *m_reach = nullptr;
+    RelayService *m_relay = nullptr;
     std::shared_ptr<net::Listener> m_listener;
     std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> m_exchanges;
     std::vector<std::weak_ptr<net::ServerConnection>> m_connections;
--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -18,6 +18,7 @@
 #include "reach_service.h"
 #include "registry_snapshots.h"
 #include "registry_sync.h"
+#include "relay_service.h"
 #include "shutdown_service.h"
 #include "target_pool.h"
 
@@ -56,6 +57,7 @@
     registry.add(std::make_unique<RegistrySnapshots>(reactor, registry));
     registry.add(std::make_unique<RegistrySync>(reactor, registry, settings.registryAddress));
     registry.add(std::make_unique<IngressService>(reactor, registry));
+    registry.add(std::make_unique<RelayService>(reactor, registry));
     registry.add(std::make_unique<DirectoryService>(reactor, registry));
     registry.add(std::make_unique<ShutdownService>(reactor, registry, path));
     LOG(INFO) << "node: starting instance=" << settings.name << " host=" << settings.host
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -232,7 +232,27 @@
 
 std::vector<std::string> PeerService::servingHosts() const
 {
-    return membership::servingHosts(m_memberList);
+    const std::vector<std::string> all = membership::servingHosts(m_memberList);
+    std::vector<std::string> reaching = reachingHosts();
+    if (!m_reach->reachesNone()
+        && std::binary_search(all.begin(), all.end(), m_memberList.self.host))
+        reaching.insert(std::lower_bound(reaching.begin(), reaching.end(), m_memberList.self.host),
+                        m_memberList.self.host);
+    return reaching.empty() ? all : reaching;
+}
+
+std::vector<std::string> PeerService::reachingHosts() const
+{
+    std::vector<std::string> hosts = membership::servingHosts(m_memberList);
+    hosts.erase(std::remove_if(hosts.begin(), hosts.end(),
+                               [this](const std::string &host) {
+                                   const auto found = m_reachOf.find(host);
+                                   return host == m_memberList.self.host
+                                          || (found != m_reachOf.end()
+                                              && found->second.reachesNone);
+                               }),
+                hosts.end());
+    return hosts;
 }
 
 void PeerService::scheduleFlush(Audience audience, Milliseconds delay)
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -98,9 +98,13 @@
     /// @brief Returns when another instance last had contact with a target, if one has.
     std::optional<Milliseconds> contactOfOthers() const;
 
-    /// @brief Returns the hosts that callers may use, without instances that are shutting down.
+    /// @brief Returns the hosts that callers may use: without instances that are shutting down, and
+    ///        without those that reach no target, unless that holds for all.
     std::vector<std::string> servingHosts() const;
 
+    /// @brief Returns the hosts of other instances that reach targets and are not shutting down.
+    std::vector<std::string> reachingHosts() const;
+
     /// @brief Returns true once the other instances have had time to send their state.
     ///
     /// Until then this instance does not know what the others have placed.
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -36,6 +36,7 @@
     std::uint64_t entryId = 0; ///< Id in the load tracker; zero for plain services.
     double expectedMs = 0; ///< Time to the first event; zero for plain services.
     double shardPrefillMs = 0; ///< Expected prefill time of each shard of the prompt.
+    bool isRelay = false; ///< `target` is another instance, which places the request.
 };
 
 /// @brief A request that waits in the queue.
@@ -52,6 +53,7 @@
     AllFull, ///< No target has a free slot and enough memory.
     TooLate, ///< The first event would come after the client timeout.
     Overloaded, ///< Admission control: its prefill would delay others too much for its weight.
+    NoneReached, ///< This instance reaches no target, and the request came from another one.
     CrashesTargets, ///< It has crashed targets, or shares a part with prompts that have.
 };
 
@@ -192,12 +194,13 @@
 struct egretmount::NameTable<egretmount::node::RefusalReason>
 {
     using RefusalReason = egretmount::node::RefusalReason;
-    static constexpr std::array<NameEntry<RefusalReason>, 6> entries { {
+    static constexpr std::array<NameEntry<RefusalReason>, 7> entries { {
         { RefusalReason::NoTarget, "no-target" },
         { RefusalReason::TurnedAway, "turned-away" },
         { RefusalReason::AllFull, "all-full" },
         { RefusalReason::TooLate, "too-late" },
         { RefusalReason::Overloaded, "overloaded" },
+        { RefusalReason::NoneReached, "none-reached" },
         { RefusalReason::CrashesTargets, "crashes-targets" },
     } };
 };
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -41,21 +41,23 @@
     cancel();
 }
 
-void TargetSend::start(const fleet::TargetEntry &target, std::string request, std::string method,
-                       std::string requestId, bool needsNewConnection)
+void TargetSend::start(const fleet::TargetEntry &target, Receiver receiver, std::string request,
+                       std::string method, std::string requestId, bool needsNewConnection)
 {
+    m_isRelay = receiver == Receiver::Instance;
     m_target = target;
     m_request = std::move(request);
     m_method = std::move(method);
     m_requestId = std::move(requestId);
     // The registry's entry may be older than a restart that the target has reported.
-    m_startedAt = std::max(target.startedAt, m_pool.health(keyOf(target.id)).startedAt);
+    m_startedAt = std::max(m_target.startedAt, m_pool.health(keyOf(m_target.id)).startedAt);
     m_reader = {};
     m_end.reset();
     m_isSent = m_hasHead = m_isUnrelated = m_isOver = m_isPaused = false;
     m_interimBytes = m_discardedBytes = m_bodyBytes = 0;
-    ++m_pool.health(keyOf(target.id)).inFlight;
-    m_connection = m_pool.acquire(target, needsNewConnection, this);
+    m_fields = {};
+    ++m_pool.health(keyOf(m_target.id)).inFlight;
+    m_connection = m_pool.acquire(m_target, needsNewConnection, this);
     if (m_connection.isReused) {
         if (m_listener.maySend())
             writeRequest();
@@ -65,7 +67,8 @@
     }
     m_connectTimer = m_reactor.after(connectTimeout, [this] {
         m_connectTimer = 0;
-        m_pool.reach().onConnectFailed();
+        if (!m_isRelay)
+            m_pool.reach().onConnectFailed();
         fail(limits::SendFailure::NotSent);
     });
 }
@@ -96,7 +99,8 @@
 void TargetSend::onConnected()
 {
     m_reactor.cancel(m_connectTimer);
-    m_pool.reach().onConnected();
+    if (!m_isRelay)
+        m_pool.reach().onConnected();
     if (m_listener.maySend())
         writeRequest();
     else
@@ -106,7 +110,8 @@
 void TargetSend::writeRequest()
 {
     m_isSent = true;
-    m_pool.reach().onRequestSent();
+    if (!m_isRelay)
+        m_pool.reach().onRequestSent();
     m_connection.stream->write(m_request);
     m_listener.onRequestSent();
 }
@@ -114,7 +119,8 @@
 void TargetSend::onBytes()
 {
     m_pool.health(keyOf(m_target.id)).lastReceivedAt = m_reactor.now();
-    m_pool.reach().onBytes();
+    if (!m_isRelay)
+        m_pool.reach().onBytes();
     const std::shared_ptr<bool> isAlive = m_isAlive;
     while (*isAlive && !m_isOver) {
         const std::size_t interimBytes = m_interimBytes;
@@ -159,7 +165,8 @@
     }
     m_head = std::move(*head);
     m_fields = platform::readResponseFields(m_head);
-    m_pool.recordNotices(m_target, m_fields);
+    if (!m_isRelay)
+        m_pool.recordNotices(m_target, m_fields); // those of a target reach its own instance
     m_reader = http::makeBodyReader(*framing);
     m_hasHead = true;
     const bool hasNoRequestId = m_fields.requestId.empty();
@@ -235,13 +242,14 @@
         return;
     m_end = end;
     if (!m_isSent) {
-        m_pool.reach().onConnectFailed();
+        if (!m_isRelay)
+            m_pool.reach().onConnectFailed();
         fail(limits::SendFailure::NotSent);
         return;
     }
     const bool isComplete = m_hasHead && !m_isUnrelated && end == net::StreamEnd::Closed
                             && http::onEndOfInput(m_reader);
-    if (isComplete)
+    if (isComplete && !m_isRelay)
         confirmEnd();
     else
         fail(limits::SendFailure::Broken);
@@ -311,7 +319,7 @@
 void TargetSend::release(bool mayReuse)
 {
     m_isOver = true;
-    if (m_isSent)
+    if (m_isSent && !m_isRelay)
         m_pool.reach().onRequestEnded();
     m_endCheck.reset();
     m_reactor.cancel(m_endCheckTimer);
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -49,6 +49,12 @@
                               const std::string &failedTargetAddress) = 0;
 };
 
+/// @brief Who receives a request that is sent.
+enum class Receiver {
+    Target,
+    Instance, ///< Another instance, which passes it on to a target.
+};
+
 /// @brief Sends one request to one target over one connection.
 ///
 /// Only the response to this request reaches the listener. Responses to other requests are
@@ -60,9 +66,10 @@
     ~TargetSend() override;
 
     /// @brief Connects to the target and sends the request.
+    /// @param target For `Receiver::Instance`, the address of an instance and an id for it.
     /// @param request The complete request, head and body.
-    void start(const fleet::TargetEntry &target, std::string request, std::string method,
-               std::string requestId, bool needsNewConnection);
+    void start(const fleet::TargetEntry &target, Receiver receiver, std::string request,
+               std::string method, std::string requestId, bool needsNewConnection);
 
     /// @brief Closes the connection, by which the target notices the cancellation. The listener is
     ///        not called again.
@@ -73,6 +80,9 @@
 
     bool isPaused() const { return m_isPaused; }
     const fleet::TargetEntry &target() const { return m_target; }
+
+    /// @brief Returns the fields of the current response; default values before its head.
+    const platform::ResponseFields &responseFields() const { return m_fields; }
     bool isReused() const { return m_connection.isReused; }
 
     /// @brief Returns how the body of the current response is delimited; `None` before its head.
@@ -135,6 +145,7 @@
     std::size_t m_interimBytes = 0;
     std::size_t m_discardedBytes = 0; ///< Of unrelated responses.
     std::size_t m_bodyBytes = 0;
+    bool m_isRelay = false; ///< The receiver is another instance.
     bool m_isPaused = false;
     bool m_isSent = false;
     bool m_hasHead = false;
--- a/tests/node/target_cut_test.cpp
+++ b/tests/node/target_cut_test.cpp
@@ -144,6 +144,7 @@
 {
     TestCluster cluster(subnet, instances, engines, plainTargets);
     REQUIRE(cluster.isReady);
+    const std::size_t crashes = countLines(cluster.nodes.logFile(), "crashes: crash recorded");
     cluster.standIn.setScript(script);
     sendFirstTries(cluster.nodes, instances, 500_ms, "before");
     cut(cluster.nodes, mode);
@@ -171,7 +172,7 @@
         CHECK(count == 1);
     }
     // A cut instance takes no target for crashed.
-    CHECK(countLines(cluster.nodes.logFile(), "crashes: crash recorded") == 0);
+    CHECK(countLines(cluster.nodes.logFile(), "crashes: crash recorded") == crashes);
 }
 
 } // namespace
@@ -197,6 +198,11 @@
 {
     TestCluster cluster(subnet, 3, engines, plainTargets);
     REQUIRE(cluster.isReady);
+    std::string configuration = testConfiguration(2);
+    const std::string timeout = "\"timeoutMs\":2000";
+    configuration.replace(configuration.find(timeout), timeout.size(), "\"timeoutMs\":9000");
+    cluster.standIn.put("op/config", configuration);
+    sleepFor(500_ms);
     cluster.standIn.setScript([](const Arrival &arrival) {
         Script slow = script(arrival);
         slow.events = 30;
@@ -275,6 +281,7 @@
 {
     TestCluster cluster(subnet, 2, engines, plainTargets);
     REQUIRE(cluster.isReady);
+    const std::size_t cuts = countLines(cluster.nodes.logFile(), "reach: no target reached");
     cluster.standIn.setScript([](const Arrival &arrival) {
         Script silent = script(arrival);
         silent.firstEventDelay = 1'200_ms;
@@ -287,6 +294,6 @@
     for (int number = 1; number <= engines / 2; ++number)
         cluster.standIn.killTarget(number);
     const std::vector<Tries> tries = sendFirstTries(cluster.nodes, 2, 1'500_ms, "dead");
-    CHECK(countLines(cluster.nodes.logFile(), "reach: no target reached") == 0);
+    CHECK(countLines(cluster.nodes.logFile(), "reach: no target reached") == cuts);
     CHECK(sumOf(tries, 0, 2).served * 10 >= sumOf(tries, 0, 2).sent * 9);
 }
