Give the command line test a subnet of its own

It shared subnet 16 with response_end_test, and failed once when ctest -j4 ran both at the same time (`egretmount_living_instances 1` not found: the instances of both clusters found each other). Alone, it passes.

--- a/tests/node/command_line_test.cpp
+++ b/tests/node/command_line_test.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr int subnet = 27;
+
 int check(const std::string &name, const std::string &text)
 {
     const std::string path = "/tmp/egretmount-check-" + name + ".json";
@@ -47,7 +49,7 @@
 TEST_CASE(
     "explain-log finds a request in the logs of instances and exits with 1 for an unknown one")
 {
-    TestCluster cluster(16, 2);
+    TestCluster cluster(subnet, 2);
     REQUIRE(cluster.isReady);
     CallerRequest request;
     request.id = "followed";
@@ -69,7 +71,7 @@
 
 TEST_CASE("metrics count requests by team, kind and outcome")
 {
-    TestCluster cluster(16);
+    TestCluster cluster(subnet);
     REQUIRE(cluster.isReady);
     CHECK(cluster.nodes.sendRequest(0, CallerRequest()).status == 200);
     CHECK(cluster.nodes.sendRequest(0, plainRequest("nowhere", "n")).status == 404);
