Do not end the process when a connection fails at once and is cancelled

A connect that fails in the call itself (no route, local ports used up; in a test, a cut that refuses connections) leaves a stream that is not watched and whose end is reported a moment later. Cancelling the request in between changed the poll mode of descriptor -1; POCO throws, and nothing catches it: the instance was gone with all its requests.

--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -107,7 +107,8 @@
 
 void TcpStream::updatePollMode()
 {
-    if (!m_isOpen)
+    const bool isWatched = m_mode != 0; // not if the connection has failed at once
+    if (!m_isOpen || !isWatched)
         return;
     int mode = PollSet::POLL_ERROR;
     if (!m_isPaused)
--- a/tests/platform/reactor_test.cpp
+++ b/tests/platform/reactor_test.cpp
@@ -53,6 +53,22 @@
     CHECK(weakStream.expired());
 }
 
+// Guards against an exception that ends the process when the local ports are used up, or no route
+// leads to a target, and the request is cancelled at the same moment.
+TEST_CASE("a connection that fails at once can be paused and closed before that is reported")
+{
+    NoOpListener listener;
+    net::Reactor reactor;
+    const std::shared_ptr<net::TcpStream> stream =
+        net::TcpStream::connect(reactor, "255.255.255.255:9", &listener);
+    CHECK_NOTHROW(stream->pauseInput(true));
+    CHECK_NOTHROW(stream->write("x"));
+    CHECK_NOTHROW(stream->pauseInput(false));
+    CHECK_NOTHROW(stream->close());
+    reactor.defer([&reactor] { reactor.stop(); });
+    reactor.run();
+}
+
 TEST_CASE("a refused connection is reported asynchronously, never during connect")
 {
     class EndRecorder : public net::StreamListener
