Accuse no target of what this instance's network does

Both now wait until it is known who is at fault: the target, as soon as this instance connects to another one; this instance, if it reaches none and another one has had contact since; the targets after 1.2 s without such news. What was learnt of targets meanwhile is forgotten when the cut ends, and idle connections are closed when it begins.

--- a/apps/node/crash_guard.cpp
+++ b/apps/node/crash_guard.cpp
@@ -13,6 +13,7 @@
 #include "peer_service.h"
 #include "platform/messages.h"
 #include "platform/orders.h"
+#include "reach_service.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -43,6 +44,7 @@
     m_causes.instance = stableHash(m_registry.find<FleetService>().settings().host);
     m_targets = &m_registry.find<TargetPool>();
     m_peers = &m_registry.find<PeerService>();
+    m_reach = &m_registry.find<ReachService>();
     m_metrics = &m_registry.find<MetricsService>();
     m_metrics->addGauge("blocked_causes",
                         [this] { return static_cast<double>(m_causes.blocked.size()); });
@@ -156,6 +158,22 @@
     if (!hasCrashed)
         return;
     const limits::TargetCrash crash { key, check.askedAt, check.causes };
+    if (report.hasResponded) {
+        recordOwnCrash(crash); // a later process of the target has said so
+        return;
+    }
+    // A network that cuts this instance off refuses connections just as a crashed target does.
+    m_reach->findFault([this, crash](limits::Fault fault) {
+        if (fault == limits::Fault::Target)
+            recordOwnCrash(crash);
+        else
+            LOG(INFO) << "crashes: crash not counted target=" << crash.target
+                      << " fault=" << nameOf(fault) << " causes=" << joinCauses(crash.causes);
+    });
+}
+
+void CrashGuard::recordOwnCrash(const limits::TargetCrash &crash)
+{
     m_ownCrashes.push_back(crash);
     if (m_ownCrashes.size() > limits::maxTargetCrashes)
         m_ownCrashes.pop_front();
--- a/apps/node/crash_guard.h
+++ b/apps/node/crash_guard.h
@@ -21,6 +21,7 @@
 
 class MetricsService;
 class PeerService;
+class ReachService;
 class TargetPool;
 
 /// @brief Finds out, together with the other instances, which requests crash targets, and keeps
@@ -83,6 +84,7 @@
     };
 
     void onChecked(placement::EngineKey key, int status, const std::string &body);
+    void recordOwnCrash(const limits::TargetCrash &crash);
 
     /// @brief Takes a crash into account, and announces the causes that it leads to block.
     void applyCrash(const limits::TargetCrash &crash, const std::string &host);
@@ -96,6 +98,7 @@
     kernel::ServiceRegistry &m_registry;
     MetricsService *m_metrics = nullptr;
     PeerService *m_peers = nullptr;
+    ReachService *m_reach = nullptr;
     TargetPool *m_targets = nullptr;
     limits::CrashCauses m_causes;
     std::deque<limits::TargetCrash> m_ownCrashes; ///< Observed by this instance.
--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -89,6 +89,7 @@
         health.failureRate = 0;
         health.ejectedUntil = Milliseconds();
     });
+    m_reach->onChanged([this] { onReachChanged(); });
     m_reactor.every(idleSweepInterval, [this] { closeExpired(); });
     m_reactor.every(noticeSweepInterval, [this] {
         limits::removeOutdated(m_notices, m_fleet->table(), m_reactor.now());
@@ -148,12 +149,30 @@
     health.ejectedUntil = std::max(health.ejectedUntil, m_reactor.now() + time);
     LOG(INFO) << "targets: target ejected target=" << target << " failures=" << health.failuresInRow
               << " for_ms=" << time.count();
-    m_peers->broadcastEjection(target);
+    if (!m_ejectionsInQuestion.insert(target).second)
+        return;
+    m_reach->findFault([this, target](limits::Fault fault) {
+        m_ejectionsInQuestion.erase(target);
+        if (fault == limits::Fault::Target)
+            m_peers->broadcastEjection(target);
+    });
+}
+
+void TargetPool::onReachChanged()
+{
+    if (m_reach->reachesNone()) {
+        m_idle.clear(); // most of these connections are cut as well
+        return;
+    }
+    for (auto &[target, health] : m_health)
+        health.ejectedUntil = Milliseconds();
 }
 
 void TargetPool::ejectUntil(placement::EngineKey target, Milliseconds until)
 {
     TargetHealth &health = m_health[target];
+    if (m_reactor.now() >= health.ejectedUntil)
+        LOG(INFO) << "targets: target ejected by another instance target=" << target;
     health.ejectedUntil = std::max(health.ejectedUntil, until);
 }
 
--- a/apps/node/target_pool.h
+++ b/apps/node/target_pool.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -85,7 +86,7 @@
 
     /// @brief Records a send that failed at the target.
     /// @param isUnresponsive True if the target did not respond at all. It is then ejected for a
-    ///        while, here and at all other instances.
+    ///        while, here and, unless this instance is at fault, at all others.
     void recordFailure(placement::EngineKey target, bool isUnresponsive);
 
     /// @brief Ejects a target that another instance reported as unresponsive.
@@ -159,6 +160,9 @@
         std::vector<std::function<void(limits::TargetState)>> listeners;
     };
 
+    /// @brief Forgets what was learnt of targets while this instance reached none.
+    void onReachChanged();
+
     void recordLeaving(const fleet::TargetEntry &target, std::int64_t startedAt);
     void recordTurnedAway(const fleet::TargetEntry &target, std::int64_t startedAt,
                           std::optional<double> statedSeconds);
@@ -186,6 +190,8 @@
     std::unordered_map<std::string, std::list<std::shared_ptr<IdleConnection>>> m_idle;
     std::unordered_map<placement::EngineKey, TargetHealth> m_health;
     std::unordered_map<placement::EngineKey, Probe> m_probes;
+    /// Ejected here; it is being found out whether this instance is at fault.
+    std::set<placement::EngineKey> m_ejectionsInQuestion;
     limits::TargetNotices m_notices;
     limits::TargetRates m_rates;
     std::map<TargetId, Milliseconds> m_limitsAnnouncedAt;
--- a/tests/node/target_cut_test.cpp
+++ b/tests/node/target_cut_test.cpp
@@ -232,6 +232,63 @@
     }
 }
 
+// Guards against requests that are blocked because a cut has ended their connections.
+TEST_CASE("a cut that resets connections accuses no request and no target")
+{
+    TestCluster cluster(subnet, 2, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    const std::string &log = cluster.nodes.logFile();
+    const std::size_t crashes = countLines(log, "crashes: crash recorded");
+    const std::size_t blocked = countLines(log, "crashes: cause blocked");
+    cluster.standIn.setScript([](const Arrival &arrival) {
+        Script slow = script(arrival);
+        slow.firstEventDelay = 400_ms;
+        return slow;
+    });
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.emplace_back([&, i] {
+            CallerRequest request = plainRequest("read", "same" + std::to_string(i));
+            request.deadlineMs = 1'900;
+            cluster.nodes.sendRequest(0, request);
+        });
+    }
+    sleepFor(200_ms);
+    cluster.nodes.setCut(0, CutMode::Reset);
+    for (std::thread &caller : callers)
+        caller.join();
+    sleepFor(1'000_ms);
+    CHECK(countLines(log, "crashes: crash recorded") == crashes);
+    CHECK(countLines(log, "crashes: cause blocked") == blocked);
+    cluster.standIn.setScript(script);
+    for (int i = 0; i < 2; ++i)
+        CHECK(cluster.nodes.sendRequest(i, plainRequest("read", "again" + std::to_string(i))).status
+              == 200);
+}
+
+// Guards against healthy instances that avoid the targets that a cut one cannot reach.
+TEST_CASE("a cut instance ejects no target at the others")
+{
+    TestCluster cluster(subnet, 2, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(script);
+    sendFirstTries(cluster.nodes, 2, 500_ms, "before");
+    const std::string &log = cluster.nodes.logFile();
+    const std::size_t ejected = countLines(log, "targets: target ejected by another instance");
+    cluster.nodes.setCut(0, CutMode::RefuseNew);
+    sendFirstTries(cluster.nodes, 2, 1'500_ms, "early");
+    CHECK(countLines(log, "targets: target ejected by another instance") == ejected);
+    // A target that is at fault is avoided by all.
+    cluster.nodes.setCut(0, CutMode::None);
+    sleepFor(1'000_ms);
+    cluster.standIn.killTarget(51);
+    // Requests that are sent over new connections only, one of which goes to that target.
+    for (int i = 0; i < 40; ++i)
+        cluster.nodes.sendRequest(1, plainRequest("pay", "late" + std::to_string(i)));
+    sleepFor(300_ms);
+    CHECK(countLines(log, "targets: target ejected by another instance") > ejected);
+}
+
 // Guards against work for callers that have left, behind the instance that passes it on.
 TEST_CASE("a caller that leaves a cut instance ends the work at the target")
 {
