--- a/tests/node/target_cut_test.cpp
+++ b/tests/node/target_cut_test.cpp
@@ -315,6 +315,56 @@
     CHECK(cluster.standIn.abandoned() > before);
 }
 
+// Guards against an instance that has never reached a target and does not know that others do.
+TEST_CASE("an instance that starts while it is cut off serves its callers")
+{
+    TestCluster cluster(subnet, 3, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(script);
+    cluster.nodes.setCut(0, CutMode::Hang);
+    cluster.nodes.process(0).kill();
+    cluster.nodes.start(0);
+    REQUIRE(cluster.nodes.waitReady(3));
+    sendFirstTries(cluster.nodes, 1, 1'500_ms, "early");
+    const std::vector<Tries> tries = sendFirstTries(cluster.nodes, 3, 1'500_ms, "late");
+    checkServed(sumOf(tries, 0, 1), sumOf(tries, 1, 3));
+}
+
+// Guards against requests that are relayed to an instance that has just been cut off as well.
+TEST_CASE("a cut that comes and goes, and moves to other instances, loses few requests")
+{
+    TestCluster cluster(subnet, instances, engines, plainTargets);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript(script);
+    std::thread operation([&] {
+        for (int i = 0; i < 6; ++i) {
+            cluster.nodes.setCut(i % instances, i % 2 == 0 ? CutMode::Hang : CutMode::Reset);
+            sleepFor(1'000_ms);
+            if (i > 0)
+                cluster.nodes.setCut((i - 1) % instances, CutMode::None);
+        }
+        cut(cluster.nodes, CutMode::None, instances);
+    });
+    const std::vector<Tries> tries = sendFirstTries(cluster.nodes, instances, 7'000_ms, "r");
+    operation.join();
+    const Tries all = sumOf(tries, 0, instances);
+    CAPTURE(all.sent);
+    CAPTURE(all.served);
+    CHECK(3 * all.served >= 2 * all.sent);
+    std::map<std::string, int> runs;
+    for (const Arrival &arrival : cluster.standIn.arrivals()) {
+        if (arrival.ran && arrival.head.target.find("/pay/") == 0)
+            ++runs[arrival.requestId];
+    }
+    for (const auto &[id, count] : runs) {
+        CAPTURE(id);
+        CHECK(count == 1);
+    }
+    sleepFor(1'500_ms);
+    const std::vector<Tries> after = sendFirstTries(cluster.nodes, instances, 1'000_ms, "after");
+    CHECK(sumOf(after, 0, instances).served == sumOf(after, 0, instances).sent);
+}
+
 // Guards against requests that go round between instances of which none reaches a target.
 TEST_CASE("requests are refused soon if no instance reaches a target")
 {
