Let a relayed request run on one target only

The soak now cuts instances off from all targets, up to all of them at once, in all three ways, and excuses nothing for it.

Cause: the receiving instance repeated a relayed request within the route's bound, and the instance with the caller, which had counted the relay as one execution, did so as well. A relayed request now has a bound of one; whether there is another execution is decided where the caller is, which also holds the retry budget. The header with earlier executions is needed no more, an error response of a relay is handled like that of a target, and a declined resumption goes to another instance.

--- a/apps/node/crash_guard.h
+++ b/apps/node/crash_guard.h
@@ -24,9 +24,8 @@
 class ReachService;
 class TargetPool;
 
-/// @brief Finds out, together with the other instances, which requests crash targets, and keeps
-/// them
-///        from further targets.
+/// @brief Finds out, together with the other instances, which requests crash targets, and sends
+///        those to no further target.
 class CrashGuard : public kernel::Service
 {
 public:
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -71,8 +71,6 @@
 void Exchange::start(double randomValue)
 {
     m_randomValue = randomValue;
-    if (m_source == RequestSource::Instance)
-        m_history.sends = m_history.possibleExecutions = m_caller.earlierSends;
     const std::weak_ptr<Exchange> weak = weak_from_this();
     m_connection->onDisconnect([weak] {
         if (const std::shared_ptr<Exchange> self = weak.lock())
@@ -135,6 +133,12 @@
         }
         m_team = team->id;
     }
+    if (isRelayed) {
+        // The other instance counts it as one execution, and decides whether there is another.
+        m_relayedRoute = *m_route;
+        m_relayedRoute.maxTargets = 1;
+        m_route = &m_relayedRoute;
+    }
     m_causes = { { limits::CauseKind::Request,
                    limits::contentId({ m_requestHead.method, host, m_requestHead.target,
                                        m_team.value, m_bodyDigest }) } };
@@ -301,8 +305,7 @@
     m_sentAt = m_lastEventAt = m_services.reactor.now();
     const std::string head =
         placement.isRelay ? platform::relayedHead(
-            m_requestHead, { fields.timeLeft, fields.resumeAfter, m_history.possibleExecutions },
-            m_body.size())
+            m_requestHead, { fields.timeLeft, fields.resumeAfter }, m_body.size())
                           : platform::forwardedHead(m_requestHead, fields, m_body.size());
     m_send.start(placement.target, placement.isRelay ? Receiver::Instance : Receiver::Target,
                  head + m_body, m_requestHead.method, m_caller.requestId, needsNewConnection);
@@ -379,7 +382,7 @@
     ++m_services.targets.health(keyOf(m_placement.target.id)).failuresInRow;
     m_failedTargets.insert(m_placement.target.id);
     const std::optional<double> retryAfterSeconds = m_send.responseFields().turnAwaySeconds;
-    if (failure == SendFailure::Declined && retryAfterSeconds) {
+    if (failure == SendFailure::Declined && retryAfterSeconds && !m_history.isResponseStarted) {
         // It reaches targets, but they have no capacity for the request now.
         LOG(INFO) << "placement: relay declined id=" << m_caller.requestId
                   << " instance=" << m_placement.target.id.value
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -180,6 +180,7 @@
     platform::CallerFields m_caller;
     std::shared_ptr<const fleet::Configuration> m_configuration;
     const fleet::Route *m_route = nullptr;
+    fleet::Route m_relayedRoute; ///< `m_route` of a request from another instance.
     const fleet::ServiceSpec *m_service = nullptr;
     TeamId m_team;
     /// The request itself and the shared parts of its prompt: what is blocked if targets crash.
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -149,16 +149,9 @@
         handleFailure(limits::SendFailure::NotContinued);
         return;
     }
-    if (m_placement.isRelay && m_responseHead.status >= 500 && !m_history.isResponseStarted) {
-        // The other instance has tried as many targets as the route allows.
-        m_hasFallback = limits::mayPassOnError(*m_route, m_responseHead.status);
-        m_fallbackHead = m_responseHead;
-        m_fallbackBody = m_buffer;
-        failRequest("relay-failed", {}, 502);
-        return;
-    }
     if (m_responseHead.status >= 500) {
-        m_services.targets.recordFailure(key, false);
+        if (!m_placement.isRelay)
+            m_services.targets.recordFailure(key, false);
         if (!m_history.isResponseStarted) {
             m_hasFallback = limits::mayPassOnError(*m_route, m_responseHead.status);
             m_fallbackHead = m_responseHead;
@@ -201,8 +194,7 @@
 {
     std::string fields;
     platform::appendRequestId(fields, m_caller.requestId);
-    if (m_source == RequestSource::Instance
-        && m_history.possibleExecutions == m_caller.earlierSends)
+    if (m_source == RequestSource::Instance && limits::verdictOf(m_history) == Verdict::NotRun)
         platform::appendNotExecuted(fields);
     if (retryAfter > Milliseconds())
         platform::appendRetryAfter(fields, retryAfter);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -341,10 +341,38 @@
                 }
             });
         }
+        const std::uint64_t cutSeed = m_random();
+        threads.emplace_back([this, end, cutSeed] { injectCuts(end, cutSeed); });
         for (std::thread &thread : threads)
             thread.join();
     }
 
+    // Cuts instances off from all targets, up to all of them. Callers are promised answers
+    // nevertheless, so these faults excuse nothing.
+    void injectCuts(Milliseconds end, std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        static constexpr CutMode modes[] = { CutMode::Hang, CutMode::Reset, CutMode::RefuseNew };
+        while (monotonicNow() < end) {
+            ++m_faultCount;
+            const CutMode mode = modes[random() % std::size(modes)];
+            const std::uint64_t affected = random();
+            for (int i = 0; i < FLAGS_instances; ++i) {
+                if ((affected >> static_cast<unsigned>(i)) % 2 == 1)
+                    m_nodes->setCut(i, mode);
+            }
+            sleepMs(200 + static_cast<int>(random() % 2'500));
+            endCuts();
+            sleepMs(static_cast<int>(random() % 2'000));
+        }
+    }
+
+    void endCuts()
+    {
+        for (int i = 0; i < FLAGS_instances; ++i)
+            m_nodes->setCut(i, CutMode::None);
+    }
+
     // Each of two groups of instances has its own thread, and two faults may overlap.
     static int drawInstance(int group, const Draw &draw)
     {
@@ -448,6 +476,7 @@
     void clearFaults()
     {
         m_isClearing = true;
+        endCuts();
         for (const int proxy : m_targetProxies)
             m_proxies.setMode(proxy, ProxyMode::Forward);
         m_proxies.setMode(m_storeProxy, ProxyMode::Forward);
