Name the announcements about crashes by the usual words

CrashNews becomes CrashUpdate, endedFor blockedForRunning; some comments are reworded. No decision changes. Pure tests of crash_causes and reachability pass.

--- a/apps/node/crash_guard.cpp
+++ b/apps/node/crash_guard.cpp
@@ -75,22 +75,23 @@
     return limits::isSuspected(m_causes, causes);
 }
 
-std::optional<Milliseconds> CrashGuard::endedFor(const std::vector<limits::Cause> &causes) const
+std::optional<Milliseconds>
+CrashGuard::blockedForRunning(const std::vector<limits::Cause> &causes) const
 {
-    return limits::endedFor(m_causes, causes, m_reactor.now());
+    return limits::blockedForRunning(m_causes, causes, m_reactor.now());
 }
 
 void CrashGuard::recordSend(const std::vector<limits::Cause> &causes)
 {
-    CrashNews news;
-    news.blocked = limits::recordSend(m_causes, causes, m_reactor.now());
-    if (news.isEmpty())
+    CrashUpdate update;
+    update.blocked = limits::recordSend(m_causes, causes, m_reactor.now());
+    if (update.isEmpty())
         return;
-    for (const limits::BlockedCause &heldBack : news.blocked) {
+    for (const limits::BlockedCause &heldBack : update.blocked) {
         LOG(INFO) << "crashes: request on trial cause=" << causeText(heldBack.cause);
         m_announced.insert(heldBack.cause);
     }
-    m_peers->broadcastCrashNews(news);
+    m_peers->broadcastCrashUpdate(update);
 }
 
 void CrashGuard::recordSound(const std::vector<limits::Cause> &causes)
@@ -102,9 +103,9 @@
     LOG(INFO) << "crashes: causes cleared causes=" << joinCauses(cleared) << " from=response";
     for (const limits::Cause &cause : cleared)
         m_announced.erase(cause);
-    CrashNews news;
-    news.sound = cleared;
-    m_peers->broadcastCrashNews(news);
+    CrashUpdate update;
+    update.sound = cleared;
+    m_peers->broadcastCrashUpdate(update);
 }
 
 void CrashGuard::onConnectionLost(const fleet::TargetEntry &target, std::int64_t startedAt,
@@ -178,9 +179,9 @@
     if (m_ownCrashes.size() > limits::maxTargetCrashes)
         m_ownCrashes.pop_front();
     m_announced.insert(crash.causes.begin(), crash.causes.end());
-    CrashNews news;
-    news.crashes.push_back(crash);
-    m_peers->broadcastCrashNews(news);
+    CrashUpdate update;
+    update.crashes.push_back(crash);
+    m_peers->broadcastCrashUpdate(update);
     applyCrash(crash, ownCrash);
 }
 
@@ -209,29 +210,29 @@
 
 void CrashGuard::announceBlocked(const std::vector<limits::Cause> &causes, bool isOwnCrash)
 {
-    CrashNews news;
+    CrashUpdate update;
     for (const limits::Cause &cause : causes) {
-        // All instances that have heard of the crash block the request themselves.
+        // All instances that receive the crash block the request themselves.
         if (!isOwnCrash && cause.kind == limits::CauseKind::Request)
             continue;
         m_announced.insert(cause);
-        news.blocked.push_back({ cause, m_causes.blocked.at(cause) });
+        update.blocked.push_back({ cause, m_causes.blocked.at(cause) });
     }
-    if (!news.isEmpty())
-        m_peers->broadcastCrashNews(news);
+    if (!update.isEmpty())
+        m_peers->broadcastCrashUpdate(update);
 }
 
-void CrashGuard::applyRemote(const std::string &host, const CrashNews &news)
+void CrashGuard::applyRemote(const std::string &host, const CrashUpdate &update)
 {
     const Milliseconds now = m_reactor.now();
-    const std::vector<limits::Cause> cleared = limits::recordSound(m_causes, news.sound, now);
+    const std::vector<limits::Cause> cleared = limits::recordSound(m_causes, update.sound, now);
     if (!cleared.empty())
         LOG(INFO) << "crashes: causes cleared causes=" << joinCauses(cleared) << " from=" << host;
     withdraw(cleared);
     // Only to the sender, which passes it on once: many instances may know of the same cause.
-    CrashNews reply;
+    CrashUpdate reply;
     bool hasNewBlock = false;
-    for (const limits::BlockedCause &blocked : news.blocked) {
+    for (const limits::BlockedCause &blocked : update.blocked) {
         if (limits::recordBlock(m_causes, blocked.cause, blocked.block, now)) {
             hasNewBlock = true;
             LOG(WARNING) << "crashes: cause blocked cause=" << causeText(blocked.cause)
@@ -241,47 +242,47 @@
             reply.sound.push_back(blocked.cause);
         }
     }
-    for (const limits::TargetCrash &crash : news.crashes) {
+    for (const limits::TargetCrash &crash : update.crashes) {
         std::copy_if(crash.causes.begin(), crash.causes.end(), std::back_inserter(reply.sound),
                      [&](const limits::Cause &cause) { return limits::isSound(m_causes, cause); });
         applyCrash(crash, host);
     }
     if (!reply.isEmpty())
-        m_peers->sendCrashNews(host, reply);
+        m_peers->sendCrashUpdate(host, reply);
     if (hasNewBlock)
         notifyListeners();
 }
 
 void CrashGuard::withdraw(const std::vector<limits::Cause> &cleared)
 {
-    CrashNews news;
-    std::copy_if(cleared.begin(), cleared.end(), std::back_inserter(news.sound),
+    CrashUpdate update;
+    std::copy_if(cleared.begin(), cleared.end(), std::back_inserter(update.sound),
                  [&](const limits::Cause &cause) { return m_announced.erase(cause) > 0; });
-    if (!news.isEmpty())
-        m_peers->broadcastCrashNews(news);
+    if (!update.isEmpty())
+        m_peers->broadcastCrashUpdate(update);
 }
 
-CrashNews CrashGuard::snapshot() const
+CrashUpdate CrashGuard::snapshot() const
 {
-    CrashNews news;
+    CrashUpdate update;
     const Milliseconds now = m_reactor.now();
     for (const auto &[cause, block] : m_causes.blocked) {
         if (now < block.until)
-            news.blocked.push_back({ cause, block });
+            update.blocked.push_back({ cause, block });
     }
     std::size_t causes = 0;
     for (auto crash = m_ownCrashes.rbegin(); crash != m_ownCrashes.rend(); ++crash) {
         const std::vector<limits::Cause> unproven = limits::unprovenCauses(
             m_causes, std::vector<limits::Cause>(crash->causes.begin(), crash->causes.end()));
         causes += unproven.size();
-        if (now - crash->at >= crashRepeatTime || news.crashes.size() >= maxCrashesInSnapshot
+        if (now - crash->at >= crashRepeatTime || update.crashes.size() >= maxCrashesInSnapshot
             || causes > maxCausesInSnapshot)
             break;
         if (!unproven.empty())
-            news.crashes.push_back(
+            update.crashes.push_back(
                 { crash->target, crash->at, { unproven.begin(), unproven.end() } });
     }
-    return news;
+    return update;
 }
 
 void CrashGuard::notifyListeners() const
--- a/apps/node/crash_guard.h
+++ b/apps/node/crash_guard.h
@@ -12,7 +12,7 @@
 #include <egretmount/limits/crash_causes.h>
 #include <egretmount/placement/load_tracker.h>
 
-#include "crash_news.h"
+#include "crash_update.h"
 #include "kernel/service.h"
 #include "net/http_client.h"
 #include "net/reactor.h"
@@ -44,7 +44,7 @@
 
     /// @brief Returns for how long a request that has been sent would be blocked; nothing if it may
     ///        run.
-    std::optional<Milliseconds> endedFor(const std::vector<limits::Cause> &causes) const;
+    std::optional<Milliseconds> blockedForRunning(const std::vector<limits::Cause> &causes) const;
 
     /// @brief Records that a request is sent. One whose block has ended is on trial.
     void recordSend(const std::vector<limits::Cause> &causes);
@@ -66,10 +66,10 @@
     void onBlocked(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
 
     /// @brief Applies what another instance has announced.
-    void applyRemote(const std::string &host, const CrashNews &news);
+    void applyRemote(const std::string &host, const CrashUpdate &update);
 
-    /// @brief Returns the blocked causes, and the crashes that this instance has lately observed.
-    CrashNews snapshot() const;
+    /// @brief Returns the blocked causes, and the crashes that this instance has recently observed.
+    CrashUpdate snapshot() const;
 
 private:
     /// @brief A call that finds out whether a target still runs.
--- a/apps/node/crash_news.h
+++ b/apps/node/crash_update.h
@@ -6,8 +6,8 @@
 
 namespace egretmount::node {
 
-/// @brief What one instance tells the others of requests that crash targets.
-struct CrashNews
+/// @brief What one instance announces to the others about requests that crash targets.
+struct CrashUpdate
 {
     std::vector<limits::TargetCrash> crashes; ///< That the sender has observed.
     std::vector<limits::BlockedCause> blocked; ///< By the sender.
--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -481,7 +481,7 @@
 {
     if (m_isOver || m_route == nullptr || m_awaitsConfiguration || m_history.isResponseStarted)
         return;
-    const std::optional<Milliseconds> blocked = m_services.crashes.endedFor(m_causes);
+    const std::optional<Milliseconds> blocked = m_services.crashes.blockedForRunning(m_causes);
     if (!blocked)
         return;
     const std::shared_ptr<Exchange> self = shared_from_this();
--- a/apps/node/peer_messages.cpp
+++ b/apps/node/peer_messages.cpp
@@ -173,13 +173,14 @@
         writeQueued(waiting[i], *queued[i], now);
 }
 
-void writeCrashNews(wire::PeerMessage::Builder message, const CrashNews &news, Milliseconds now)
+void writeCrashUpdate(wire::PeerMessage::Builder message, const CrashUpdate &update,
+                      Milliseconds now)
 {
-    if (news.isEmpty())
+    if (update.isEmpty())
         return;
-    capnp::List<wire::TargetCrash>::Builder crashes = message.initCrashes(news.crashes.size());
-    for (unsigned i = 0; i < news.crashes.size(); ++i) {
-        const limits::TargetCrash &crash = news.crashes[i];
+    capnp::List<wire::TargetCrash>::Builder crashes = message.initCrashes(update.crashes.size());
+    for (unsigned i = 0; i < update.crashes.size(); ++i) {
+        const limits::TargetCrash &crash = update.crashes[i];
         crashes[i].setTarget(crash.target);
         crashes[i].setAgeMs(durationField(now - crash.at));
         const std::vector<std::uint64_t> parts = idsOf(crash.causes, CauseKind::PromptPart);
@@ -187,43 +188,43 @@
         crashes[i].setParts(listOf(parts));
         crashes[i].setRequests(listOf(requests));
     }
-    capnp::List<wire::CauseBlock>::Builder blocked = message.initBlocked(news.blocked.size());
-    for (unsigned i = 0; i < news.blocked.size(); ++i) {
-        blocked[i].setId(news.blocked[i].cause.id);
-        blocked[i].setIsRequest(news.blocked[i].cause.kind == CauseKind::Request);
-        blocked[i].setIsTrial(news.blocked[i].block.isTrial);
-        blocked[i].setAgeMs(durationField(now - news.blocked[i].block.from));
-        blocked[i].setLeftMs(durationField(news.blocked[i].block.until - now));
+    capnp::List<wire::CauseBlock>::Builder blocked = message.initBlocked(update.blocked.size());
+    for (unsigned i = 0; i < update.blocked.size(); ++i) {
+        blocked[i].setId(update.blocked[i].cause.id);
+        blocked[i].setIsRequest(update.blocked[i].cause.kind == CauseKind::Request);
+        blocked[i].setIsTrial(update.blocked[i].block.isTrial);
+        blocked[i].setAgeMs(durationField(now - update.blocked[i].block.from));
+        blocked[i].setLeftMs(durationField(update.blocked[i].block.until - now));
     }
-    const std::vector<std::uint64_t> soundParts = idsOf(news.sound, CauseKind::PromptPart);
-    const std::vector<std::uint64_t> soundRequests = idsOf(news.sound, CauseKind::Request);
+    const std::vector<std::uint64_t> soundParts = idsOf(update.sound, CauseKind::PromptPart);
+    const std::vector<std::uint64_t> soundRequests = idsOf(update.sound, CauseKind::Request);
     message.setSoundParts(listOf(soundParts));
     message.setSoundRequests(listOf(soundRequests));
 }
 
-CrashNews readCrashNews(wire::PeerMessage::Reader message, Milliseconds now)
+CrashUpdate readCrashUpdate(wire::PeerMessage::Reader message, Milliseconds now)
 {
-    CrashNews news;
+    CrashUpdate update;
     for (const wire::TargetCrash::Reader crash : message.getCrashes()) {
         limits::TargetCrash read { crash.getTarget(), now - Milliseconds(crash.getAgeMs()), {} };
         for (const std::uint64_t id : crash.getParts())
             read.causes.insert({ CauseKind::PromptPart, id });
         for (const std::uint64_t id : crash.getRequests())
             read.causes.insert({ CauseKind::Request, id });
-        news.crashes.push_back(std::move(read));
+        update.crashes.push_back(std::move(read));
     }
     for (const wire::CauseBlock::Reader blocked : message.getBlocked()) {
         const CauseKind kind = blocked.getIsRequest() ? CauseKind::Request : CauseKind::PromptPart;
-        news.blocked.push_back(
+        update.blocked.push_back(
             { { kind, blocked.getId() },
               { now - Milliseconds(blocked.getAgeMs()), now + Milliseconds(blocked.getLeftMs()),
                 blocked.getIsTrial() } });
     }
     for (const std::uint64_t id : message.getSoundParts())
-        news.sound.push_back({ CauseKind::PromptPart, id });
+        update.sound.push_back({ CauseKind::PromptPart, id });
     for (const std::uint64_t id : message.getSoundRequests())
-        news.sound.push_back({ CauseKind::Request, id });
-    return news;
+        update.sound.push_back({ CauseKind::Request, id });
+    return update;
 }
 
 void writeLimits(wire::PeerMessage::Builder message, const std::vector<TargetLimitNews> &limits,
--- a/apps/node/peer_messages.h
+++ b/apps/node/peer_messages.h
@@ -10,7 +10,7 @@
 #include <egretmount/membership/member_list.h>
 #include <egretmount/placement/load_tracker.h>
 
-#include "crash_news.h"
+#include "crash_update.h"
 #include "peer_message.capnp.h"
 #include "target_limit_news.h"
 
@@ -55,11 +55,12 @@
                                     Milliseconds now);
 
 /// @brief Writes what the sender knows of requests that crash targets.
-void writeCrashNews(wire::PeerMessage::Builder message, const CrashNews &news, Milliseconds now);
+void writeCrashUpdate(wire::PeerMessage::Builder message, const CrashUpdate &update,
+                      Milliseconds now);
 
 /// @brief Reads what another instance knows of requests that crash targets, with times on this
 ///        instance's clock.
-CrashNews readCrashNews(wire::PeerMessage::Reader message, Milliseconds now);
+CrashUpdate readCrashUpdate(wire::PeerMessage::Reader message, Milliseconds now);
 
 /// @brief Writes the rate limits of targets, and ends of limits.
 void writeLimits(wire::PeerMessage::Builder message, const std::vector<TargetLimitNews> &limits,
--- a/apps/node/peer_receiving.cpp
+++ b/apps/node/peer_receiving.cpp
@@ -30,7 +30,7 @@
         applyMembership(host, message);
         applyReach(host, message);
         applyRequestState(host, message);
-        applyCrashNews(host, message);
+        applyCrashUpdate(host, message);
         applyRegistryState(host, message);
     } catch (const kj::Exception &error) {
         LOG(WARNING) << "peers: unreadable datagram sender=" << sender << " reason=\""
@@ -52,11 +52,11 @@
     reach.contactAt = std::max(contactAt, Milliseconds());
 }
 
-void PeerService::applyCrashNews(const std::string &host, wire::PeerMessage::Reader message)
+void PeerService::applyCrashUpdate(const std::string &host, wire::PeerMessage::Reader message)
 {
-    const CrashNews news = readCrashNews(message, m_reactor.now());
-    if (!news.isEmpty())
-        m_crashes->applyRemote(host, news);
+    const CrashUpdate update = readCrashUpdate(message, m_reactor.now());
+    if (!update.isEmpty())
+        m_crashes->applyRemote(host, update);
 }
 
 void PeerService::applyRegistryState(const std::string &host, wire::PeerMessage::Reader message)
--- a/apps/node/peer_service.cpp
+++ b/apps/node/peer_service.cpp
@@ -182,24 +182,24 @@
     scheduleFlush(Audience::Fleet, placementFlushDelay);
 }
 
-void PeerService::broadcastCrashNews(const CrashNews &news)
+void PeerService::broadcastCrashUpdate(const CrashUpdate &update)
 {
-    CrashNews &out = m_fleetOutbox.crashes;
-    out.crashes.insert(out.crashes.end(), news.crashes.begin(), news.crashes.end());
-    out.blocked.insert(out.blocked.end(), news.blocked.begin(), news.blocked.end());
-    out.sound.insert(out.sound.end(), news.sound.begin(), news.sound.end());
+    CrashUpdate &out = m_fleetOutbox.crashes;
+    out.crashes.insert(out.crashes.end(), update.crashes.begin(), update.crashes.end());
+    out.blocked.insert(out.blocked.end(), update.blocked.begin(), update.blocked.end());
+    out.sound.insert(out.sound.end(), update.sound.begin(), update.sound.end());
     // After the crash of a target, many requests prove sound one after the other.
-    const bool isUrgent = !news.crashes.empty() || !news.blocked.empty();
+    const bool isUrgent = !update.crashes.empty() || !update.blocked.empty();
     scheduleFlush(Audience::Fleet,
                   isUrgent ? placementFlushDelay : progressFlushDelay(Audience::Fleet));
 }
 
-void PeerService::sendCrashNews(const std::string &host, const CrashNews &news)
+void PeerService::sendCrashUpdate(const std::string &host, const CrashUpdate &update)
 {
     capnp::MallocMessageBuilder builder;
     wire::PeerMessage::Builder message = builder.initRoot<wire::PeerMessage>();
     writeHeader(message);
-    writeCrashNews(message, news, m_reactor.now());
+    writeCrashUpdate(message, update, m_reactor.now());
     send(host, serializePacked(builder));
 }
 
@@ -305,7 +305,7 @@
         departures[i].setTarget(outbox.departures[i].target);
         departures[i].setStartedAt(outbox.departures[i].startedAt);
     }
-    writeCrashNews(message, outbox.crashes, m_reactor.now());
+    writeCrashUpdate(message, outbox.crashes, m_reactor.now());
     writeLimits(message, outbox.limits, m_reactor.now());
     const std::string datagram = serializePacked(builder);
     if (audience == Audience::Cell)
@@ -341,7 +341,7 @@
     writeHeader(message);
     message.setIsStatement(true);
     writeRequests(message, inFlight, m_placement->ownQueued(), m_reactor.now());
-    writeCrashNews(message, m_crashes->snapshot(), m_reactor.now());
+    writeCrashUpdate(message, m_crashes->snapshot(), m_reactor.now());
     writeLimits(message, m_targets->limitsInForce(), m_reactor.now());
     return serializePacked(builder);
 }
--- a/apps/node/peer_service.h
+++ b/apps/node/peer_service.h
@@ -14,7 +14,7 @@
 #include <egretmount/placement/cell.h>
 #include <egretmount/placement/load_tracker.h>
 
-#include "crash_news.h"
+#include "crash_update.h"
 #include "kernel/service.h"
 #include "net/reactor.h"
 #include "peer_message.capnp.h"
@@ -83,10 +83,10 @@
     void broadcastLimit(const TargetLimitNews &news);
 
     /// @brief Broadcasts what this instance knows of requests that crash targets.
-    void broadcastCrashNews(const CrashNews &news);
+    void broadcastCrashUpdate(const CrashUpdate &update);
 
     /// @brief Sends it to one instance.
-    void sendCrashNews(const std::string &host, const CrashNews &news);
+    void sendCrashUpdate(const std::string &host, const CrashUpdate &update);
 
     /// @brief Notifies the instances that receive registry changes through this one that it has a
     ///        new version.
@@ -151,7 +151,7 @@
         std::vector<std::uint64_t> ended;
         std::vector<placement::EngineKey> ejections;
         std::vector<Departure> departures;
-        CrashNews crashes;
+        CrashUpdate crashes;
         std::vector<TargetLimitNews> limits;
         Milliseconds flushAt; ///< When the pending flush runs.
         net::TimerId flushTimer = 0;
@@ -167,7 +167,7 @@
     void applyRegistryState(const std::string &host, wire::PeerMessage::Reader message);
     void applyMembership(const std::string &host, wire::PeerMessage::Reader message);
     void applyRequestState(const std::string &host, wire::PeerMessage::Reader message);
-    void applyCrashNews(const std::string &host, wire::PeerMessage::Reader message);
+    void applyCrashUpdate(const std::string &host, wire::PeerMessage::Reader message);
     void applyReach(const std::string &host, wire::PeerMessage::Reader message);
     void sendSnapshots();
 
--- a/apps/node/reach_service.h
+++ b/apps/node/reach_service.h
@@ -22,8 +22,8 @@
 /// @brief Finds out whether this instance can connect to targets at all.
 ///
 /// A failed connection may be the fault of its target or of this instance's network. Probes of
-/// other targets, which only connect, tell the two apart, and the other instances' contacts with
-/// targets tell the latter from targets that have all failed.
+/// other targets, which only connect, distinguish the two; the other instances' contacts with
+/// targets distinguish the latter from targets that have all failed.
 class ReachService : public kernel::Service
 {
 public:
--- a/apps/node/target_pool.h
+++ b/apps/node/target_pool.h
@@ -78,7 +78,7 @@
 
     TargetHealth &health(placement::EngineKey target) { return m_health[target]; }
 
-    /// @brief Returns what is told of the events of connections to targets.
+    /// @brief Returns the service that is notified of the events of connections to targets.
     ReachService &reach() const { return *m_reach; }
 
     /// @brief Records a successful send.
--- a/include/egretmount/limits/crash_causes.h
+++ b/include/egretmount/limits/crash_causes.h
@@ -87,7 +87,7 @@
 struct CauseUse
 {
     Milliseconds usedAt; ///< When a request with it was last received or proven sound.
-    double received = 0; ///< Requests with it that this instance received lately.
+    double received = 0; ///< Requests with it that this instance received recently.
     std::uint64_t route = 0; ///< Route of the last one.
     bool isSound = false; ///< A target has run such a request and went on running.
 };
@@ -127,7 +127,7 @@
     std::deque<TargetCrash> crashes;
     std::map<Cause, CauseBlock> blocked;
     std::map<std::uint64_t, double>
-        receivedByRoute; ///< Requests that this instance received lately.
+        receivedByRoute; ///< Requests that this instance received recently.
     Milliseconds decayedAt;
     /// Identifies this instance. Those with different ids allow a request whose block has ended one
     /// after the other within `shortBlockTime`, so that one of them tries first.
@@ -158,8 +158,8 @@
 
 /// @brief Records that a request is sent.
 ///
-/// If one of its causes was blocked until lately, the request is on trial: it holds back the others
-/// with the cause for `shortBlockTime`. If a target survives it, they are free at once.
+/// If one of its causes was blocked until recently, the request is on trial: it holds back the
+/// others with the cause for `shortBlockTime`. If a target survives it, they are free at once.
 /// @return The causes that are held back.
 std::vector<BlockedCause> recordSend(CrashCauses &state, const std::vector<Cause> &causes,
                                      Milliseconds now);
@@ -183,8 +183,8 @@
 /// run.
 ///
 /// A request on trial is not held back by its own block.
-std::optional<Milliseconds> endedFor(const CrashCauses &state, const std::vector<Cause> &causes,
-                                     Milliseconds now);
+std::optional<Milliseconds> blockedForRunning(const CrashCauses &state,
+                                              const std::vector<Cause> &causes, Milliseconds now);
 
 /// @brief Removes what has expired and keeps the state within its bounds. Call this regularly.
 void removeExpired(CrashCauses &state, Milliseconds now);
--- a/include/egretmount/limits/request_content.h
+++ b/include/egretmount/limits/request_content.h
@@ -7,7 +7,7 @@
 
 namespace egretmount::limits {
 
-/// @brief What two requests have in common if a target cannot tell them apart.
+/// @brief What two requests have in common if a target cannot distinguish them.
 ///
 /// The caller's request id, its deadline and its connection are new in each attempt.
 struct RequestContent
--- a/src/limits/crash_causes.cpp
+++ b/src/limits/crash_causes.cpp
@@ -215,8 +215,8 @@
             crash.causes.insert(cause);
     }
     std::vector<Cause> newlyBlocked = reblockExpired(state, crash, now);
-    // Causes that are implicated in as many crashes cannot be told apart and are blocked together,
-    // but a request rather than the parts that it shares with others.
+    // Causes that are implicated in as many crashes cannot be distinguished and are blocked
+    // together, but a request rather than the parts that it shares with others.
     std::pair<std::size_t, bool> best;
     std::vector<Cause> candidates;
     for (const Cause &cause : crash.causes) {
@@ -294,8 +294,8 @@
     return longestBlock(state, causes, now, [](const CauseBlock &) { return true; });
 }
 
-std::optional<Milliseconds> endedFor(const CrashCauses &state, const std::vector<Cause> &causes,
-                                     Milliseconds now)
+std::optional<Milliseconds> blockedForRunning(const CrashCauses &state,
+                                              const std::vector<Cause> &causes, Milliseconds now)
 {
     return longestBlock(state, causes, now, [](const CauseBlock &block) { return !block.isTrial; });
 }
