--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -163,8 +163,8 @@
         while (hasTrouble() && !node.hasEnded() && steadyMs() - termAt < graceMs + 1'000)
             sleepMs(20);
         if (hasTrouble()) {
-            record.write("machine " + node.host() + " has ended "
-                         + std::to_string(steadyMs() - termAt) + " ms after the SIGTERM");
+            record.write("machine " + node.host() + " has ended, " + describeStatus(node.status())
+                         + ", " + std::to_string(steadyMs() - termAt) + " ms after the SIGTERM");
             node.start();
             if (!waitReady(nodes))
                 finish(nodes, CannotRun);
--- a/review/common/platform.h
+++ b/review/common/platform.h
@@ -409,6 +409,13 @@
     int m_status = 0;
 };
 
+/// @brief Describes the status of an ended process.
+inline std::string describeStatus(int status)
+{
+    return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                               : "exit code " + std::to_string(WEXITSTATUS(status));
+}
+
 /// @brief Waits until all machines are ready and know each other.
 inline bool waitReady(const std::vector<std::unique_ptr<Node>> &nodes)
 {
