--- a/review/common/platform.h
+++ b/review/common/platform.h
@@ -360,6 +360,7 @@
     }
 
     int status() const { return m_status; }
+    pid_t process() const { return m_process; }
 
     void kill(int number)
     {
