--- a/review/common/platform.h
+++ b/review/common/platform.h
@@ -332,17 +332,23 @@
 
     void start()
     {
-        m_process = fork();
-        if (m_process == 0) {
+        // All memory is allocated before the fork, as other threads may hold the allocator's lock.
+        std::string program = "target/bin/egretmount-node";
+        std::string flag = "--metrics_port=9464";
+        std::string settings = "EGRETMOUNT_SETTINGS=" + m_settings;
+        char *const arguments[] = { program.data(), flag.data(), nullptr };
+        char *const environment[] = { settings.data(), nullptr };
+        const int log = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+        const pid_t process = fork();
+        if (process == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int log = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(log, STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
-            setenv("EGRETMOUNT_SETTINGS", m_settings.c_str(), 1);
-            execl("target/bin/egretmount-node", "target/bin/egretmount-node", "--metrics_port=9464",
-                  nullptr);
+            execve(arguments[0], arguments, environment);
             _exit(127);
         }
+        m_process = process;
+        ::close(log);
     }
 
     void signal(int number) const
