--- a/review/common/platform.h
+++ b/review/common/platform.h
@@ -56,7 +56,9 @@
     return out;
 }
 
-/// @brief The addresses of one run: a part of the loopback range that no other run uses.
+/// @brief The addresses of one run: a part of the loopback range, and ports that are free there.
+///
+/// The port of the metrics is that of the deploy file's command; it is free on these addresses.
 class Network
 {
 public:
@@ -66,18 +68,68 @@
         for (int attempt = 0; attempt < 200; ++attempt) {
             m_prefix = "127." + std::to_string(60 + (seed / 200 + attempt) % 120) + '.'
                        + std::to_string(1 + (seed + attempt) % 200) + '.';
-            if (isFree(host(250) + ":8223") && isFree(host(1) + ":8227")
-                && isFree(host(1) + ":9464"))
+            m_firstPort = freePort();
+            if (m_firstPort > 0 && areFree())
                 return;
         }
     }
 
     std::string host(int number) const { return m_prefix + std::to_string(number); }
+    std::string address(int number, int offset) const
+    {
+        return host(number) + ':' + std::to_string(m_firstPort + offset);
+    }
+    std::string store() const { return address(storeHost, 0); }
+    std::string engine(int number) const { return address(number, 0); }
+    int peerPort() const { return m_firstPort + peerOffset; }
+
+    static constexpr int frontOffset = 0;
+    static constexpr int readyOffset = 1;
+    static constexpr int controlOffset = 2;
+    static constexpr int directoryOffset = 3;
+    static constexpr int peerOffset = 4; // and the next one
 
 private:
-    static bool isFree(const std::string &address)
+    static constexpr int storeHost = 250;
+    static constexpr int portCount = 6;
+    static constexpr int metricsPort = 9464;
+    static constexpr int mostMachines = 6;
+
+    // Asks the system for a free port, below which and above which the others are tried.
+    int freePort() const
     {
         const int handle = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in name = socketName(host(1) + ":0");
+        socklen_t size = sizeof name;
+        const bool isBound =
+            bind(handle, reinterpret_cast<const sockaddr *>(&name), size) == 0
+            && getsockname(handle, reinterpret_cast<sockaddr *>(&name), &size) == 0;
+        ::close(handle);
+        const int port = ntohs(name.sin_port);
+        return isBound && port + portCount < 65'536 ? port : 0;
+    }
+
+    bool areFree() const
+    {
+        for (int machine = 1; machine <= mostMachines; ++machine) {
+            for (int offset = 0; offset < portCount; ++offset) {
+                if (!isFree(address(machine, offset), SOCK_STREAM)
+                    || !isFree(address(machine, offset), SOCK_DGRAM))
+                    return false;
+            }
+            if (!isFree(host(machine) + ':' + std::to_string(metricsPort), SOCK_STREAM))
+                return false;
+        }
+        for (const int number : { 101, 102, 103, 104, 105, 106, 151, 152, 153, storeHost }) {
+            if (!isFree(address(number, 0), SOCK_STREAM))
+                return false;
+        }
+        return true;
+    }
+
+    static bool isFree(const std::string &address, int type)
+    {
+        const int handle = socket(AF_INET, type, 0);
         const sockaddr_in name = socketName(address);
         const bool isBound =
             bind(handle, reinterpret_cast<const sockaddr *>(&name), sizeof name) == 0;
@@ -86,6 +138,7 @@
     }
 
     std::string m_prefix;
+    int m_firstPort = 0;
 };
 
 /// @brief The platform's store: it can be read and watched, and the case writes to it.
@@ -302,33 +355,37 @@
 class Node
 {
 public:
-    Node(const std::string &host, const std::string &seed, const std::string &store,
-         const std::string &folder)
-        : m_host(host)
-        , m_settings(folder + "/settings-" + host + ".json")
-        , m_log(folder + "/log-" + host + ".txt")
+    Node(const Network &network, int number, const std::string &folder)
+        : m_host(network.host(number))
+        , m_front(network.address(number, Network::frontOffset))
+        , m_ready(network.address(number, Network::readyOffset))
+        , m_directory(network.address(number, Network::directoryOffset))
+        , m_settings(folder + "/settings-" + m_host + ".json")
+        , m_log(folder + "/log-" + m_host + ".txt")
     {
         std::ofstream file(m_settings, std::ios::trunc);
-        file << "{\"nodeName\":\"front-" << host
+        file << "{\"nodeName\":\"front-" << m_host
              << "\",\"role\":\"node\",\"machineClass\":\"front\","
-             << "\"serves\":[\"front\",\"directory\",\"control\"],\"ip\":\"" << host
+             << "\"serves\":[\"front\",\"directory\",\"control\"],\"ip\":\"" << m_host
              << "\",\"zone\":\"z1\",\"region\":\"r\",\"zones\":{\"z1\":\"r\"},\"listenAddrs\":{"
-             << "\"front\":\"" << front() << "\",\"ready\":\"" << host << ":8220\",\"control\":\""
-             << host << ":8229\",\"directory\":\"" << directory()
-             << "\"},\"portRange\":[7340,7355],\"seeds\":[\"" << seed
-             << ":8229\"],\"bootstrap\":true,\"limits\":{\"cpuShare\":0.25,\"cores\":1,"
+             << "\"front\":\"" << m_front << "\",\"ready\":\"" << m_ready << "\",\"control\":\""
+             << network.address(number, Network::controlOffset) << "\",\"directory\":\""
+             << m_directory << "\"},\"portRange\":[" << network.peerPort() << ','
+             << network.peerPort() + 1 << "],\"seeds\":[\""
+             << network.address(1, Network::controlOffset)
+             << "\"],\"bootstrap\":true,\"limits\":{\"cpuShare\":0.25,\"cores\":1,"
              << "\"memoryMb\":260,\"maxFds\":4100,\"linkMbps\":1000.0,\"diskMb\":0},"
              << "\"heartbeatMs\":1200,\"contractParams\":{\"contactMs\":3000,\"drainMs\":2000,"
              << "\"graceS\":8,\"lossSlackMs\":200,\"configMs\":2000,\"budgetRatio\":0.2,"
              << "\"budgetWindowS\":10,\"budgetSlack\":104,\"ttl_max_s\":5},\"platform\":{"
-             << "\"address\":\"" << store << "\",\"form\":\"read\"}}";
+             << "\"address\":\"" << network.store() << "\",\"form\":\"read\"}}";
     }
 
     ~Node() { kill(SIGKILL); }
 
     const std::string &host() const { return m_host; }
-    std::string front() const { return m_host + ":8227"; }
-    std::string directory() const { return m_host + ":8224"; }
+    const std::string &front() const { return m_front; }
+    const std::string &directory() const { return m_directory; }
 
     void start()
     {
@@ -377,7 +434,7 @@
         m_process = -1;
     }
 
-    bool isReady() const { return statusOf(m_host + ":8220", "/v1/ready") == 200; }
+    bool isReady() const { return statusOf(m_ready, "/v1/ready") == 200; }
 
     /// @brief Returns the addresses that the directory of this machine names.
     std::vector<std::string> resolve() const
@@ -410,6 +467,9 @@
     }
 
     std::string m_host;
+    std::string m_front;
+    std::string m_ready;
+    std::string m_directory;
     std::string m_settings;
     std::string m_log;
     pid_t m_process = -1;
