Destroy services in the reverse order of their registration

Cause: the registry kept its services in a vector, which destroys the first one first. Change: ~ServiceRegistry destroys the last service first.

--- a/src/daemon/kernel/service.cpp
+++ b/src/daemon/kernel/service.cpp
@@ -2,6 +2,12 @@
 
 namespace egretmount::kernel {
 
+ServiceRegistry::~ServiceRegistry()
+{
+    while (!m_services.empty())
+        m_services.pop_back();
+}
+
 void ServiceRegistry::startAll()
 {
     for (const std::unique_ptr<Service> &service : m_services) {
--- a/src/daemon/kernel/service.h
+++ b/src/daemon/kernel/service.h
@@ -32,6 +32,15 @@
 class ServiceRegistry
 {
 public:
+    ServiceRegistry() = default;
+
+    /// @brief Destroys the services in the reverse order of `add`, so that a service can use those
+    ///        added before it for as long as it exists.
+    ~ServiceRegistry();
+
+    ServiceRegistry(const ServiceRegistry &) = delete;
+    ServiceRegistry &operator=(const ServiceRegistry &) = delete;
+
     /// @brief Adds a service. Services are started in the order in which they were added.
     template<typename Kind>
     Kind &add(std::unique_ptr<Kind> service)
