Exit only when no request is in hand and no connection is open

Cause: the process exited when no request was in hand, although connections were open on which it accepted requests. Idle connections were closed once, 1.5 s after the signal; one whose response began before that and ended after it stayed open, unannounced. Change: instance/shutdown_plan divides the grace period into stages and states when a process may exit. net::HttpServer knows the connections of an address and closes them after 300 ms without a request, with a last look for one; what arrives later is left unread. Pipelined requests are answered before the close, incomplete ones refused at 94 % of the grace. Requests from other instances and the directory are treated alike. Why it works: a request is accepted only on an open connection, and the process exits only when there is none.

--- a/apps/node/directory_service.cpp
+++ b/apps/node/directory_service.cpp
@@ -30,13 +30,20 @@
     m_fleet = &m_registry.find<FleetService>();
     m_peers = &m_registry.find<PeerService>();
     const instance::Settings &settings = m_fleet->settings();
-    const net::Listener::Accept accept = [this](const Poco::Net::StreamSocket &socket) {
-        net::ServerConnection::serve(m_reactor, socket, *this);
-    };
-    m_directoryListener = net::Listener::open(m_reactor, settings.directoryAddress, accept);
-    m_readinessListener = net::Listener::open(m_reactor, settings.readinessAddress, accept);
-    if (!settings.controlAddress.empty())
-        m_controlListener = net::Listener::open(m_reactor, settings.controlAddress, accept);
+    for (const std::string &address :
+         { settings.directoryAddress, settings.readinessAddress, settings.controlAddress }) {
+        if (!address.empty())
+            m_servers.push_back(std::make_unique<net::HttpServer>(m_reactor, address, *this));
+    }
+}
+
+void DirectoryService::closeAll()
+{
+    for (const std::unique_ptr<net::HttpServer> &server : m_servers) {
+        server->stopAccepting();
+        server->closeIdle(Milliseconds());
+        server->refuseIncomplete(503);
+    }
 }
 
 void DirectoryService::onRequest(const std::shared_ptr<net::ServerConnection> &connection,
--- a/apps/node/directory_service.h
+++ b/apps/node/directory_service.h
@@ -7,6 +7,7 @@
 #include <egretmount/membership/directory_plan.h>
 
 #include "kernel/service.h"
+#include "net/http_server.h"
 #include "net/server_connection.h"
 
 namespace egretmount::node {
@@ -30,9 +31,13 @@
     /// @brief Makes the readiness probe report that this instance is not ready.
     void setStopping() { m_isStopping = true; }
 
+    /// @brief Answers the requests that have arrived completely, and closes all connections.
+    void closeAll();
+
 private:
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                    net::RequestBody body) override;
+    bool isStopping() const override { return m_isStopping; }
     std::string directoryResponse();
 
     /// @brief Returns the hosts that the next response names.
@@ -42,9 +47,7 @@
     kernel::ServiceRegistry &m_registry;
     FleetService *m_fleet = nullptr;
     PeerService *m_peers = nullptr;
-    std::shared_ptr<net::Listener> m_directoryListener;
-    std::shared_ptr<net::Listener> m_readinessListener;
-    std::shared_ptr<net::Listener> m_controlListener;
+    std::vector<std::unique_ptr<net::HttpServer>> m_servers; ///< One for each address.
     std::vector<std::string> m_plannedHosts; ///< Hosts for which `m_plan` was made.
     instance::Capacities m_plannedCapacities; ///< Capacities for which `m_plan` was made.
     membership::DirectoryPlan m_plan;
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -22,7 +22,6 @@
 // same targets. Other instances learn of a placement about 5 ms later, so the placements of
 // different instances should be a few milliseconds apart for each target.
 constexpr Milliseconds maxResumeDelay = Milliseconds(200);
-constexpr Milliseconds connectionSweepInterval = Milliseconds(1'000);
 
 } // namespace
 
@@ -49,18 +48,8 @@
     m_placement->onLongPrefill(
         [this](const std::vector<placement::EngineKey> &engines) { migrateFrom(engines); });
     m_crashes->onBlocked([this] { endBlocked(); });
-    m_listener = net::Listener::open(
-        m_reactor, m_fleet->settings().callerAddress,
-        [this](const Poco::Net::StreamSocket &socket) {
-            m_connections.push_back(net::ServerConnection::serve(m_reactor, socket, *this));
-        });
-    m_reactor.every(connectionSweepInterval, [this] {
-        m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
-                                           [](const std::weak_ptr<net::ServerConnection> &weak) {
-                                               return weak.expired();
-                                           }),
-                            m_connections.end());
-    });
+    m_server =
+        std::make_unique<net::HttpServer>(m_reactor, m_fleet->settings().callerAddress, *this);
 }
 
 void IngressService::addGauges()
@@ -76,16 +65,6 @@
                         [this] { return static_cast<double>(m_fleet->table().targets.size()); });
 }
 
-void IngressService::stopAccepting()
-{
-    m_isStopping = true;
-    m_listener->close();
-    for (const std::weak_ptr<net::ServerConnection> &weak : m_connections) {
-        if (const std::shared_ptr<net::ServerConnection> connection = weak.lock())
-            connection->closeIfIdle();
-    }
-}
-
 std::vector<std::shared_ptr<Exchange>> IngressService::allExchanges() const
 {
     std::vector<std::shared_ptr<Exchange>> exchanges;
@@ -146,9 +125,9 @@
 void IngressService::accept(const std::shared_ptr<net::ServerConnection> &connection,
                             http::RequestHead head, net::RequestBody body, RequestSource source)
 {
-    m_lastRequestAt = m_reactor.now();
     if (m_refusesNew) {
         std::string fields;
+        platform::appendRequestId(fields, platform::readCallerFields(head).requestId);
         platform::appendRetryAfter(fields, stoppingRetryAfter);
         if (source == RequestSource::Instance)
             platform::appendNotExecuted(fields);
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -9,6 +9,7 @@
 
 #include "exchange.h"
 #include "kernel/service.h"
+#include "net/http_server.h"
 #include "net/server_connection.h"
 
 namespace egretmount::node {
@@ -37,13 +38,19 @@
     std::string_view name() const override { return serviceName; }
     void start() override;
 
+    /// @brief Ends the exchanges while the services that they use still exist.
+    void stop() override { endAll(); }
+
     /// @brief Begins to handle a complete request.
     void accept(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                 net::RequestBody body, RequestSource source);
 
-    /// @brief Closes the listener and all idle connections. Busy connections are closed after their
-    ///        current response.
-    void stopAccepting();
+    /// @brief Returns the server of the callers' connections. @pre The service has started.
+    net::HttpServer &server() { return *m_server; }
+
+    /// @brief Announces in all further responses that their connections are closed.
+    void closeAfterResponses() { m_isStopping = true; }
+    bool isStopping() const override { return m_isStopping; }
 
     /// @brief Ends all exchanges, each with a final response where one can still be sent.
     void endAll();
@@ -54,8 +61,8 @@
     /// @brief Refuses all further requests with status 503.
     void refuseNew() { m_refusesNew = true; }
 
-    bool isIdle() const { return m_exchanges.empty(); }
-    Milliseconds lastRequestAt() const { return m_lastRequestAt; }
+    /// @brief Returns the number of requests that have not been answered yet.
+    std::size_t requestsInHand() const { return m_exchanges.size(); }
 
     /// @brief Counts a caller's request to a service in the retry budget of the service.
     void recordRequest(const ServiceId &service);
@@ -74,7 +81,6 @@
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                    net::RequestBody body) override;
     fleet::CallerLimits limits() const override;
-    bool isStopping() const override { return m_isStopping; }
 
     void addGauges();
 
@@ -98,12 +104,10 @@
     CrashGuard *m_crashes = nullptr;
     ReachService *m_reach = nullptr;
     RelayService *m_relay = nullptr;
-    std::shared_ptr<net::Listener> m_listener;
+    std::unique_ptr<net::HttpServer> m_server;
     std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> m_exchanges;
-    std::vector<std::weak_ptr<net::ServerConnection>> m_connections;
     std::unordered_map<std::string, limits::RetryBudget> m_budgets; ///< Keyed by service id.
     std::mt19937_64 m_random;
-    Milliseconds m_lastRequestAt;
     bool m_isStopping = false;
     bool m_refusesNew = false;
 };
--- a/apps/node/relay_service.cpp
+++ b/apps/node/relay_service.cpp
@@ -48,11 +48,8 @@
     m_reach = &m_registry.find<ReachService>();
     m_targets = &m_registry.find<TargetPool>();
     const instance::Settings &settings = m_fleet->settings();
-    m_listener =
-        net::Listener::open(m_reactor, settings.host + ':' + std::to_string(relayPort(settings)),
-                            [this](const Poco::Net::StreamSocket &socket) {
-                                net::ServerConnection::serve(m_reactor, socket, *this);
-                            });
+    m_server = std::make_unique<net::HttpServer>(
+        m_reactor, settings.host + ':' + std::to_string(relayPort(settings)), *this);
 }
 
 bool RelayService::isNeeded() const
@@ -107,6 +104,11 @@
     m_ingress->accept(connection, std::move(head), std::move(body), RequestSource::Instance);
 }
 
+bool RelayService::isStopping() const
+{
+    return m_ingress->isStopping();
+}
+
 fleet::CallerLimits RelayService::limits() const
 {
     fleet::CallerLimits limits =
--- a/apps/node/relay_service.h
+++ b/apps/node/relay_service.h
@@ -9,6 +9,7 @@
 #include <egretmount/core/ids.h>
 
 #include "kernel/service.h"
+#include "net/http_server.h"
 #include "net/reactor.h"
 #include "net/server_connection.h"
 #include "placement_service.h"
@@ -51,10 +52,14 @@
     /// @brief Returns whether an instance still reaches targets.
     bool mayReceive(const TargetId &instance) const;
 
+    /// @brief Returns the server of other instances' connections. @pre The service has started.
+    net::HttpServer &server() { return *m_server; }
+
 private:
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                    net::RequestBody body) override;
     fleet::CallerLimits limits() const override;
+    bool isStopping() const override;
 
     net::Reactor &m_reactor;
     kernel::ServiceRegistry &m_registry;
@@ -63,7 +68,7 @@
     PeerService *m_peers = nullptr;
     ReachService *m_reach = nullptr;
     TargetPool *m_targets = nullptr;
-    std::shared_ptr<net::Listener> m_listener;
+    std::unique_ptr<net::HttpServer> m_server;
     std::mt19937_64 m_random;
 };
 
--- a/apps/node/shutdown_service.cpp
+++ b/apps/node/shutdown_service.cpp
@@ -1,5 +1,6 @@
 #include "shutdown_service.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -13,27 +14,24 @@
 #include "peer_service.h"
 #include "placement_service.h"
 #include "platform/settings.h"
+#include "relay_service.h"
 
 namespace egretmount::node {
 
 namespace {
 
+using instance::ShutdownStage;
+
 std::atomic<bool> stopRequested = false;
 std::atomic<bool> reloadRequested = false;
 
 constexpr Milliseconds checkInterval = Milliseconds(50);
 // Changes of the settings file are also detected without SIGHUP.
 constexpr Milliseconds settingsCheckInterval = Milliseconds(1'000);
-// Connections are accepted for this long after the announcement, because other instances still name
-// this one for a moment and callers cache directory responses.
-constexpr Milliseconds acceptPeriod = Milliseconds(1'500);
-// New requests on open connections are served until this share of the grace period has passed, then
-// refused.
-constexpr double serveGraceShare = 0.4;
-// Requests still in flight at this share of the grace period are aborted, before the platform kills
-// the process.
-constexpr double abortGraceShare = 0.94;
-constexpr Milliseconds idlePeriod = Milliseconds(300); // without requests before the process exits
+// Time for the next request on a connection whose last response did not announce its end.
+constexpr Milliseconds maxIdleTime = Milliseconds(300);
+// Callers read the ends of their connections before the process exits.
+constexpr Milliseconds exitDelay = Milliseconds(100);
 
 void onSignal(int signal)
 {
@@ -51,11 +49,6 @@
     return text.str();
 }
 
-Milliseconds shareOf(Milliseconds time, double share)
-{
-    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
-}
-
 } // namespace
 
 void ShutdownService::installSignalHandlers()
@@ -79,6 +72,7 @@
     m_peers = &m_registry.find<PeerService>();
     m_placement = &m_registry.find<PlacementService>();
     m_ingress = &m_registry.find<IngressService>();
+    m_relay = &m_registry.find<RelayService>();
     m_directory = &m_registry.find<DirectoryService>();
     m_settingsText = readFile(m_settingsPath);
     m_reactor.every(checkInterval, [this] { onTick(); });
@@ -105,7 +99,9 @@
 {
     m_isShuttingDown = true;
     m_shutdownStartedAt = m_reactor.now();
-    LOG(INFO) << "shutdown: draining grace_ms=" << m_fleet->settings().shutdownGrace.count();
+    m_plan = instance::shutdownPlan(m_fleet->settings().shutdownGrace);
+    LOG(INFO) << "shutdown: stage=announcing grace_ms="
+              << m_fleet->settings().shutdownGrace.count();
     m_directory->setStopping();
     m_peers->announceLeaving();
     // They have not run, and other instances can place them while this one drains.
@@ -115,22 +111,62 @@
 
 void ShutdownService::continueShutdown()
 {
-    const Milliseconds now = m_reactor.now();
-    const Milliseconds elapsed = now - m_shutdownStartedAt;
-    const Milliseconds grace = m_fleet->settings().shutdownGrace;
-    if (!m_hasStoppedAccepting && elapsed >= acceptPeriod) {
-        m_hasStoppedAccepting = true;
-        m_ingress->stopAccepting();
+    if (m_isExiting)
+        return;
+    const Milliseconds elapsed = m_reactor.now() - m_shutdownStartedAt;
+    const ShutdownStage stage = instance::shutdownStage(m_plan, elapsed);
+    if (stage != m_stage) {
+        const instance::Obligations owed = obligations();
+        LOG(INFO) << "shutdown: stage=" << nameOf(stage) << " after_ms=" << elapsed.count()
+                  << " requests=" << owed.requests << " connections=" << owed.connections;
+        m_stage = stage;
     }
-    if (elapsed >= shareOf(grace, serveGraceShare))
-        m_ingress->refuseNew();
-    const bool isIdle = m_ingress->isIdle() && now - m_ingress->lastRequestAt() >= idlePeriod;
-    const bool mustAbort = elapsed >= shareOf(grace, abortGraceShare);
-    if (!(m_hasStoppedAccepting && isIdle) && !mustAbort)
+    drain(stage);
+    if (instance::mayExit(stage, obligations()))
+        exit(elapsed);
+}
+
+void ShutdownService::drain(ShutdownStage stage)
+{
+    if (stage < ShutdownStage::Draining)
         return;
-    LOG(INFO) << "shutdown: stopping after_ms=" << elapsed.count() << " quiet=" << isIdle;
-    m_ingress->endAll();
-    m_reactor.after(Milliseconds(100), [this] { m_reactor.stop(); });
+    m_ingress->closeAfterResponses();
+    if (stage >= ShutdownStage::Refusing)
+        m_ingress->refuseNew();
+    const bool isAborting = stage >= ShutdownStage::Aborting;
+    for (net::HttpServer *server : requestServers()) {
+        server->stopAccepting();
+        server->closeIdle(isAborting ? Milliseconds() : maxIdleTime);
+        if (isAborting)
+            server->refuseIncomplete(503);
+    }
+    if (isAborting)
+        m_ingress->endAll();
+}
+
+void ShutdownService::exit(Milliseconds elapsed)
+{
+    const instance::Obligations owed = obligations();
+    LOG(INFO) << "shutdown: stopping after_ms=" << elapsed.count() << " requests=" << owed.requests
+              << " connections=" << owed.connections;
+    m_isExiting = true;
+    m_directory->closeAll();
+    const Milliseconds timeLeft = std::max(m_plan.exiting - elapsed, Milliseconds());
+    m_reactor.after(std::min(exitDelay, timeLeft), [this] { m_reactor.stop(); });
+}
+
+instance::Obligations ShutdownService::obligations() const
+{
+    instance::Obligations owed;
+    owed.requests = m_ingress->requestsInHand();
+    for (const net::HttpServer *server : requestServers())
+        owed.connections += server->openConnections();
+    return owed;
+}
+
+std::array<net::HttpServer *, 2> ShutdownService::requestServers() const
+{
+    return { &m_ingress->server(), &m_relay->server() };
 }
 
 void ShutdownService::reloadIfChanged(bool isSignalled)
--- a/apps/node/shutdown_service.h
+++ b/apps/node/shutdown_service.h
@@ -1,6 +1,12 @@
 #pragma once
 
+#include <array>
+#include <string>
+
+#include <egretmount/instance/shutdown_plan.h>
+
 #include "kernel/service.h"
+#include "net/http_server.h"
 #include "net/reactor.h"
 
 namespace egretmount::node {
@@ -10,12 +16,13 @@
 class IngressService;
 class PeerService;
 class PlacementService;
+class RelayService;
 
 /// @brief Shuts this instance down gracefully after a stop signal, and reloads changed settings.
 ///
-/// A shutdown announces that the instance is leaving, refuses deferred requests, accepts
-/// connections for a short time longer, drains the requests in flight, and aborts those that remain
-/// near the end of the grace period.
+/// A shutdown announces that the instance is leaving, refuses deferred requests, and goes through
+/// the stages of `instance::ShutdownStage`. The process exits once no request is in hand and no
+/// connection is open on which another one would be accepted.
 class ShutdownService : public kernel::Service
 {
 public:
@@ -34,6 +41,14 @@
     void onTick();
     void beginShutdown();
     void continueShutdown();
+
+    /// @brief Closes what is no longer needed at a stage of the shutdown.
+    void drain(instance::ShutdownStage stage);
+    instance::Obligations obligations() const;
+    void exit(Milliseconds elapsed);
+
+    /// @brief Returns the servers that accept requests from callers and for them.
+    std::array<net::HttpServer *, 2> requestServers() const;
     void reloadIfChanged(bool isSignalled);
 
     net::Reactor &m_reactor;
@@ -43,12 +58,15 @@
     PeerService *m_peers = nullptr;
     PlacementService *m_placement = nullptr;
     IngressService *m_ingress = nullptr;
+    RelayService *m_relay = nullptr;
     DirectoryService *m_directory = nullptr;
     std::string m_settingsText;
     Milliseconds m_shutdownStartedAt;
     Milliseconds m_nextSettingsCheckAt;
     bool m_isShuttingDown = false;
-    bool m_hasStoppedAccepting = false;
+    bool m_isExiting = false;
+    instance::ShutdownPlan m_plan;
+    instance::ShutdownStage m_stage = instance::ShutdownStage::Announcing;
 };
 
 } // namespace egretmount::node
--- a/src/daemon/net/server_connection.cpp
+++ b/src/daemon/net/server_connection.cpp
@@ -30,6 +30,7 @@
     connection->m_self = connection;
     connection->m_stream = TcpStream::adopt(reactor, socket, connection.get());
     connection->m_limits = handler.limits();
+    connection->m_idleSince = reactor.now();
     connection->setTimer(connection->m_limits.idleTime + idleTimeoutMargin, 0);
     return connection;
 }
@@ -147,6 +148,7 @@
     m_handler.onRefused(status, reason);
     m_phase = Phase::Responding;
     // The rest of the request stays unread, so no further request can be read after it.
+    m_isRefused = true;
     m_keepsAlive = false;
     respond(status, http::reasonPhrase(status), {}, {});
 }
@@ -174,12 +176,21 @@
     return text;
 }
 
+void ServerConnection::decideKeepAlive(bool hasFraming)
+{
+    // Pipelined requests that have been read must be answered before the connection is closed.
+    const bool isLast = m_handler.isStopping() && m_stream->input().empty();
+    m_keepsAlive = m_keepsAlive && hasFraming && !isLast;
+    if (!m_keepsAlive && !m_isRefused)
+        m_stream->leaveInput();
+}
+
 void ServerConnection::respond(int status, std::string_view reason, std::string_view fields,
                                std::string_view body)
 {
     if (m_phase != Phase::Responding)
         return;
-    m_keepsAlive = m_keepsAlive && !m_handler.isStopping();
+    decideKeepAlive(true);
     std::string text = headText(status, reason, fields);
     const bool hasNoLength = status == 204 || status == 304;
     if (!hasNoLength)
@@ -195,7 +206,7 @@
 {
     if (m_phase != Phase::Responding)
         return;
-    m_keepsAlive = m_keepsAlive && m_isChunked && !m_handler.isStopping();
+    decideKeepAlive(m_isChunked);
     std::string text = headText(status, reason, fields);
     // Without chunks, the end of the connection is the end of the body, so that every early end
     // must be a reset.
@@ -256,6 +267,7 @@
         return;
     }
     m_phase = Phase::Idle;
+    m_idleSince = m_reactor.now();
     setTimer(m_limits.idleTime + idleTimeoutMargin, 0);
     m_stream->pauseInput(false);
     // Pipelined requests are read in a deferred task, because this function is called from
@@ -266,14 +278,30 @@
 
 void ServerConnection::closeIfIdle()
 {
-    if (m_phase != Phase::Idle)
+    const std::shared_ptr<ServerConnection> self = shared_from_this();
+    if (m_phase == Phase::Idle)
+        m_stream->receive();
+    if (m_phase != Phase::Idle || !m_stream->input().empty())
         return;
     m_phase = Phase::Closed;
     m_reactor.cancel(m_timer);
+    m_stream->leaveInput();
     m_stream->closeGracefully();
     m_reactor.defer([self = std::move(m_self)] {});
 }
 
+void ServerConnection::refuseIncomplete(int status)
+{
+    const std::shared_ptr<ServerConnection> self = shared_from_this();
+    if (m_phase == Phase::Head || m_phase == Phase::Body)
+        refuse(status, "incomplete");
+}
+
+Milliseconds ServerConnection::idleTime() const
+{
+    return m_phase == Phase::Idle ? m_reactor.now() - m_idleSince : Milliseconds();
+}
+
 void ServerConnection::onDrained()
 {
     if (!m_drainListener || m_phase != Phase::Responding)
--- a/src/daemon/net/server_connection.h
+++ b/src/daemon/net/server_connection.h
@@ -41,7 +41,8 @@
     /// @brief Returns the current size and time limits for requests.
     virtual fleet::CallerLimits limits() const { return {}; }
 
-    /// @brief Returns true during shutdown: connections are then closed after the current response.
+    /// @brief Returns true during shutdown: connections are then closed after the current response
+    ///        and those to pipelined requests.
     virtual bool isStopping() const { return false; }
 
     /// @brief Called when a request is rejected before it has arrived completely.
@@ -93,9 +94,17 @@
     ///        slowly.
     std::size_t unsent() const { return m_stream ? m_stream->unsent() : 0; }
 
-    /// @brief Closes the connection if it has no request in progress.
+    /// @brief Closes the connection if it has no request in progress and none has arrived.
     void closeIfIdle();
 
+    /// @brief Refuses a request that has arrived in part. Does nothing in other states.
+    void refuseIncomplete(int status);
+
+    bool isOpen() const { return m_phase != Phase::Closed; }
+
+    /// @brief Returns how long the connection has had no request; zero if it has one.
+    Milliseconds idleTime() const;
+
 private:
     enum class Phase {
         Idle,
@@ -115,6 +124,9 @@
     void refuse(int status, std::string_view reason);
     void finishResponse();
 
+    /// @brief Decides whether the connection is closed after the response that begins.
+    void decideKeepAlive(bool hasFraming);
+
     void setTimer(Milliseconds delay, int status);
     std::string headText(int status, std::string_view reason, std::string_view fields) const;
 
@@ -131,10 +143,12 @@
     std::string m_body;
     DigestStream m_bodyDigest;
     TimerId m_timer = 0;
+    Milliseconds m_idleSince;
     bool m_keepsAlive = true;
     bool m_isChunked = true;
     bool m_isHeadRequest = false; ///< The response has no body because of the request's method.
     bool m_isReading = false;
+    bool m_isRefused = false; ///< A part of the current request stays unread.
 };
 
 } // namespace egretmount::net
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -134,6 +134,8 @@
 {
     if (!m_isOpen)
         return;
+    // The timer and the reactor may be the last owners.
+    const std::shared_ptr<TcpStream> self = weak_from_this().lock();
     m_isOpen = false;
     m_listener = nullptr;
     m_reactor.cancel(m_closeTimer);
@@ -178,16 +180,20 @@
 
 void TcpStream::startLingerTimer()
 {
-    const std::weak_ptr<TcpStream> weak = weak_from_this();
-    m_closeTimer = m_reactor.after(lingerTimeout, [weak, unsentBefore = unsent()] {
-        const std::shared_ptr<TcpStream> stream = weak.lock();
-        if (!stream)
-            return;
-        if (stream->unsent() > 0 && stream->unsent() < unsentBefore)
-            stream->startLingerTimer();
-        else
-            stream->close();
-    });
+    // The timer owns the stream, because the reactor may have stopped watching it.
+    m_closeTimer =
+        m_reactor.after(lingerTimeout, [stream = shared_from_this(), unsentBefore = unsent()] {
+            if (stream->unsent() > 0 && stream->unsent() < unsentBefore)
+                stream->startLingerTimer();
+            else
+                stream->close();
+        });
+}
+
+void TcpStream::receive()
+{
+    if (m_isOpen && m_isConnected && !m_isPaused)
+        readSome();
 }
 
 void TcpStream::pauseInput(bool isPaused)
@@ -214,8 +220,41 @@
         readSome();
 }
 
+void TcpStream::checkForEnd()
+{
+    char byte = 0;
+    int count = 0;
+    try {
+        count = m_socket.receiveBytes(&byte, 1, MSG_PEEK);
+    } catch (const Poco::Exception &error) {
+        if (error.code() != EAGAIN && error.code() != EWOULDBLOCK)
+            finish(StreamEnd::Reset);
+        return;
+    }
+    if (count == 0 && (!m_isClosing || unsent() == 0))
+        finish(StreamEnd::Closed);
+    else if (count >= 0)
+        stopWatchingInput();
+}
+
+void TcpStream::stopWatchingInput()
+{
+    m_isPaused = true;
+    if (m_isClosing && unsent() == 0) {
+        // The socket would be ready all the time once the peer has closed its side, too.
+        m_mode = 0;
+        m_reactor.unwatch(m_socket);
+        return;
+    }
+    updatePollMode();
+}
+
 void TcpStream::readSome()
 {
+    if (m_leavesInput) {
+        checkForEnd();
+        return;
+    }
     std::array<char, readBufferBytes> buffer;
     for (int i = 0; i < maxReadsPerCallback && m_isOpen; ++i) {
         int count = 0;
@@ -230,6 +269,10 @@
         }
         if (count < 0)
             return;
+        if (count == 0 && m_isClosing && unsent() > 0) {
+            stopWatchingInput(); // the peer still reads
+            return;
+        }
         if (count == 0) {
             finish(StreamEnd::Closed);
             return;
@@ -276,6 +319,10 @@
                 close(); // the peer has already disconnected
                 return;
             }
+            if (m_isPaused) {
+                stopWatchingInput();
+                return;
+            }
         } else if (m_listener != nullptr) {
             m_listener->onDrained();
         }
@@ -312,6 +359,12 @@
     , m_accept(std::move(accept))
 { }
 
+void Listener::acceptPending()
+{
+    while (m_isOpen && m_socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ)
+           && acceptOne()) { }
+}
+
 void Listener::close()
 {
     if (!m_isOpen)
@@ -326,10 +379,17 @@
     const std::shared_ptr<Listener> self = shared_from_this();
     // Accepts one connection per readiness event. The socket stays readable while connections are
     // pending; POCO would throw an exception on an `accept` with none pending.
+    acceptOne();
+}
+
+bool Listener::acceptOne()
+{
     try {
         m_accept(m_socket.acceptConnection());
+        return true;
     } catch (const Poco::Exception &error) {
         LOG(WARNING) << "net: cannot accept a connection reason=\"" << error.displayText() << '"';
+        return false;
     }
 }
 
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -84,9 +84,18 @@
     ///        peer to close its side (lingering close), or longer while the peer reads.
     ///
     /// Closing a socket with unread input would reset the connection, and the peer could lose the
-    /// end of the last response. The listener receives no further events.
+    /// end of the last response. Input is therefore discarded until then, unless `leaveInput` was
+    /// called. The listener receives no further events.
     void closeGracefully();
 
+    /// @brief Reads no further input and only notices the end of the connection.
+    ///
+    /// A peer may repeat a request that was not read, but not one that was read and discarded.
+    void leaveInput() { m_leavesInput = true; }
+
+    /// @brief Reads what has arrived since the last poll. The listener is called as usual.
+    void receive();
+
     /// @brief Stops or resumes reading from the socket, which applies backpressure to the peer.
     void pauseInput(bool isPaused);
 
@@ -104,6 +113,10 @@
     void startLingerTimer();
     void startWatching(int mode);
     void readSome();
+
+    /// @brief Finds out whether the peer has closed its side, without reading input.
+    void checkForEnd();
+    void stopWatchingInput();
     void flush();
     void finish(StreamEnd end);
     void updatePollMode();
@@ -120,6 +133,7 @@
     bool m_isConnected = false;
     bool m_isPaused = false;
     bool m_isClosing = false;
+    bool m_leavesInput = false;
 };
 
 /// @brief Accepts connections and passes each of them to a callback.
@@ -137,10 +151,14 @@
 
     Listener(Reactor &reactor, const Poco::Net::ServerSocket &socket, Accept accept);
 
+    /// @brief Accepts the connections that the kernel has already established.
+    void acceptPending();
     void close();
     void onReady(bool isReadable, bool isWritable, bool hasFailed) override;
 
 private:
+    bool acceptOne();
+
     Reactor &m_reactor;
     Poco::Net::ServerSocket m_socket;
     Accept m_accept;
--- a/tests/node/support/nodes.cpp
+++ b/tests/node/support/nodes.cpp
@@ -184,8 +184,8 @@
          << callerAddress(index) << "\",\"ready\":\"" << readinessAddress(index)
          << "\",\"control\":\"" << host(index) << ":8229\",\"directory\":\""
          << directoryAddress(index) << "\"},\"portRange\":[7340,7355],\"seeds\":[" << seeds
-         << "],\"contractParams\":{\"graceS\":3,\"budgetSlack\":104},\"platform\":{\"address\":\""
-         << m_storeAddress << "\"}}";
+         << "],\"contractParams\":{\"graceS\":" << static_cast<double>(m_grace.count()) / 1'000
+         << ",\"budgetSlack\":104},\"platform\":{\"address\":\"" << m_storeAddress << "\"}}";
     file.close();
     std::vector<std::string> flags = m_flags;
     flags.insert(flags.end(), { "--settings=" + path, "--metrics_port=9464" });
--- a/tests/node/support/nodes.h
+++ b/tests/node/support/nodes.h
@@ -101,6 +101,9 @@
     /// @brief Cuts an instance off from all targets, or ends that. A restart does not end it.
     void setCut(int index, CutMode mode);
 
+    /// @brief Sets the grace period of the instances that are started from now on.
+    void setGrace(Milliseconds grace) { m_grace = grace; }
+
     /// @brief Starts or restarts an instance.
     void start(int index);
 
@@ -125,6 +128,7 @@
     std::string m_logFile;
     std::string m_storeAddress;
     std::vector<std::string> m_flags;
+    Milliseconds m_grace = Milliseconds(3'000);
     std::vector<Process> m_processes;
 };
 
