Exit only when callers have received all bytes

Cause: a request counted as answered when its response was given to the stream. What the kernel had not taken was dropped at the exit. Change: TcpStream::undelivered counts the unsent and the unacknowledged bytes; HttpServer adds them up, and the process owes them. Why it works: the process exits when the sum is zero, or shortly before the platform kills it.

--- a/apps/node/shutdown_service.cpp
+++ b/apps/node/shutdown_service.cpp
@@ -148,7 +148,7 @@
 {
     const instance::Obligations owed = obligations();
     LOG(INFO) << "shutdown: stopping after_ms=" << elapsed.count() << " requests=" << owed.requests
-              << " connections=" << owed.connections;
+              << " connections=" << owed.connections << " unsent_bytes=" << owed.bytes;
     m_isExiting = true;
     m_directory->closeAll();
     const Milliseconds timeLeft = std::max(m_plan.exiting - elapsed, Milliseconds());
@@ -161,6 +161,10 @@
     owed.requests = m_ingress->requestsInHand();
     for (const net::HttpServer *server : requestServers())
         owed.connections += server->openConnections();
+    if (owed.requests > 0 || owed.connections > 0)
+        return owed; // the process does not exit yet, and counting the bytes costs system calls
+    for (const net::HttpServer *server : requestServers())
+        owed.bytes += server->undelivered();
     return owed;
 }
 
--- a/apps/node/shutdown_service.h
+++ b/apps/node/shutdown_service.h
@@ -22,7 +22,7 @@
 ///
 /// A shutdown announces that the instance is leaving, refuses deferred requests, and goes through
 /// the stages of `instance::ShutdownStage`. The process exits once no request is in hand and no
-/// connection is open on which another one would be accepted.
+/// connection is open on which another one would be accepted, and callers have received all bytes.
 class ShutdownService : public kernel::Service
 {
 public:
--- a/include/egretmount/instance/shutdown_plan.h
+++ b/include/egretmount/instance/shutdown_plan.h
@@ -48,6 +48,7 @@
 {
     std::size_t requests = 0; ///< Accepted and not answered yet.
     std::size_t connections = 0; ///< On which another request would be accepted.
+    std::size_t bytes = 0; ///< Of responses that callers have not received yet.
 };
 
 /// @brief Returns whether an instance may exit: nothing is owed, or the grace period is over.
--- a/src/daemon/net/http_server.cpp
+++ b/src/daemon/net/http_server.cpp
@@ -8,12 +8,6 @@
 
 constexpr std::size_t minSweepSize = 64;
 
-bool isOpen(const std::weak_ptr<ServerConnection> &weak)
-{
-    const std::shared_ptr<ServerConnection> connection = weak.lock();
-    return connection && connection->isOpen();
-}
-
 } // namespace
 
 HttpServer::HttpServer(Reactor &reactor, const std::string &address, RequestHandler &handler)
@@ -29,17 +23,26 @@
     m_listener->close();
 }
 
+bool HttpServer::isInUse(const Accepted &accepted)
+{
+    const std::shared_ptr<TcpStream> stream = accepted.stream.lock();
+    return stream && stream->isOpen();
+}
+
 void HttpServer::add(const Poco::Net::StreamSocket &socket)
 {
     if (m_connections.size() >= m_sweepAt) {
-        m_connections.erase(std::remove_if(m_connections.begin(), m_connections.end(),
-                                           [](const std::weak_ptr<ServerConnection> &weak) {
-                                               return !isOpen(weak);
-                                           }),
-                            m_connections.end());
+        m_connections.erase(
+            std::remove_if(m_connections.begin(), m_connections.end(),
+                           [](const Accepted &accepted) { return !isInUse(accepted); }),
+            m_connections.end());
         m_sweepAt = std::max(minSweepSize, 2 * m_connections.size());
     }
-    m_connections.push_back(ServerConnection::serve(m_reactor, socket, m_handler));
+    Accepted accepted;
+    accepted.connection = ServerConnection::serve(m_reactor, socket, m_handler);
+    if (const std::shared_ptr<ServerConnection> connection = accepted.connection.lock())
+        accepted.stream = connection->stream();
+    m_connections.push_back(accepted);
 }
 
 void HttpServer::stopAccepting()
@@ -50,8 +53,8 @@
 
 void HttpServer::closeIdle(Milliseconds idleTime)
 {
-    for (const std::weak_ptr<ServerConnection> &weak : m_connections) {
-        const std::shared_ptr<ServerConnection> connection = weak.lock();
+    for (const Accepted &accepted : m_connections) {
+        const std::shared_ptr<ServerConnection> connection = accepted.connection.lock();
         if (connection && connection->idleTime() >= idleTime)
             connection->closeIfIdle();
     }
@@ -59,8 +62,8 @@
 
 void HttpServer::refuseIncomplete(int status)
 {
-    for (const std::weak_ptr<ServerConnection> &weak : m_connections) {
-        if (const std::shared_ptr<ServerConnection> connection = weak.lock())
+    for (const Accepted &accepted : m_connections) {
+        if (const std::shared_ptr<ServerConnection> connection = accepted.connection.lock())
             connection->refuseIncomplete(status);
     }
 }
@@ -68,7 +71,20 @@
 std::size_t HttpServer::openConnections() const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_connections.begin(), m_connections.end(), isOpen));
+        std::count_if(m_connections.begin(), m_connections.end(), [](const Accepted &accepted) {
+            const std::shared_ptr<ServerConnection> connection = accepted.connection.lock();
+            return connection && connection->isOpen();
+        }));
+}
+
+std::size_t HttpServer::undelivered() const
+{
+    std::size_t bytes = 0;
+    for (const Accepted &accepted : m_connections) {
+        if (const std::shared_ptr<TcpStream> stream = accepted.stream.lock())
+            bytes += stream->undelivered();
+    }
+    return bytes;
 }
 
 } // namespace egretmount::net
--- a/src/daemon/net/http_server.h
+++ b/src/daemon/net/http_server.h
@@ -13,7 +13,7 @@
 /// @brief A listening address together with the connections accepted on it.
 ///
 /// To shut down without losing a request, call `stopAccepting` and then `closeIdle` repeatedly,
-/// until `openConnections` is zero.
+/// until `openConnections` and `undelivered` are zero.
 class HttpServer
 {
 public:
@@ -39,13 +39,24 @@
     /// @brief Returns the number of connections on which requests are accepted or in progress.
     std::size_t openConnections() const;
 
+    /// @brief Returns the number of response bytes that callers have not received yet.
+    /// @complexity One system call for each connection.
+    std::size_t undelivered() const;
+
 private:
+    struct Accepted
+    {
+        std::weak_ptr<ServerConnection> connection;
+        std::weak_ptr<TcpStream> stream; ///< Outlives the connection until its output is delivered.
+    };
+
+    static bool isInUse(const Accepted &accepted);
     void add(const Poco::Net::StreamSocket &socket);
 
     Reactor &m_reactor;
     RequestHandler &m_handler;
     std::shared_ptr<Listener> m_listener;
-    std::vector<std::weak_ptr<ServerConnection>> m_connections;
+    std::vector<Accepted> m_connections;
     std::size_t m_sweepAt; ///< Number of entries at which ended connections are removed.
 };
 
--- a/src/daemon/net/server_connection.h
+++ b/src/daemon/net/server_connection.h
@@ -100,6 +100,9 @@
     /// @brief Refuses a request that has arrived in part. Does nothing in other states.
     void refuseIncomplete(int status);
 
+    /// @brief Returns the connection's stream, which may live longer to deliver its output.
+    std::weak_ptr<TcpStream> stream() const { return m_stream; }
+
     bool isOpen() const { return m_phase != Phase::Closed; }
 
     /// @brief Returns how long the connection has had no request; zero if it has one.
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -1,8 +1,10 @@
 #include "net/tcp_stream.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -130,6 +132,19 @@
         flush();
 }
 
+std::size_t TcpStream::undelivered() const
+{
+    if (!m_isOpen)
+        return 0;
+    int inKernel = 0;
+    try {
+        m_socket.impl()->ioctl(SIOCOUTQ, inKernel);
+    } catch (const Poco::Exception &) {
+        inKernel = 0; // the connection has failed, which its next event reports
+    }
+    return unsent() + static_cast<std::size_t>(std::max(inKernel, 0));
+}
+
 void TcpStream::close()
 {
     if (!m_isOpen)
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -67,6 +67,12 @@
     /// @brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t unsent() const { return m_output.size() - m_sent; }
 
+    /// @brief Returns the number of written bytes that the peer has not acknowledged yet; the end
+    /// of
+    ///        the sending side counts as one byte. Zero after the end of the stream.
+    /// @complexity One system call.
+    std::size_t undelivered() const;
+
     /// @brief Closes the socket immediately and discards unsent bytes. The listener receives no
     ///        further events.
     void close();
--- a/src/instance/shutdown_plan.cpp
+++ b/src/instance/shutdown_plan.cpp
@@ -53,7 +53,8 @@
 {
     if (stage == ShutdownStage::Exiting)
         return true;
-    return stage != ShutdownStage::Announcing && owed.requests == 0 && owed.connections == 0;
+    return stage != ShutdownStage::Announcing && owed.requests == 0 && owed.connections == 0
+           && owed.bytes == 0;
 }
 
 } // namespace egretmount::instance
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -323,3 +323,31 @@
     }
     CHECK(served > 0);
 }
+
+// Guards against an exit while responses stand in the send buffers of the process: review case 2.
+TEST_CASE("responses that their callers read slowly are delivered before the process exits")
+{
+    StoppingCluster cluster;
+    const std::string body(4'000'000, 'x');
+    cluster.standIn.setScript([&body](const Arrival &) { return plainAfter(10_ms, body); });
+    std::vector<Response> responses(8);
+    std::vector<std::thread> callers;
+    cluster.stop();
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        callers.emplace_back([&cluster, &responses, i] {
+            Caller caller(cluster.nodes.callerAddress(0), 16'384);
+            caller.setReadPause(4_ms, 2'000); // less than 1 MB a second
+            // With and without an announcement of the close.
+            cluster.sleepUntil(i % 2 == 0 ? 0_ms : 1'450_ms);
+            caller.send(plainRequest("read", "large-" + std::to_string(i)).text());
+            responses[i] = caller.receive("POST", 7'000_ms);
+        });
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    for (const Response &response : responses) {
+        CHECK(response.isComplete);
+        CHECK(response.body.size() == body.size());
+    }
+    cluster.checkExit();
+}
--- a/tests/node/support/nodes.cpp
+++ b/tests/node/support/nodes.cpp
@@ -10,8 +10,11 @@
 
 namespace egretmount::tests {
 
-Caller::Caller(const std::string &address)
+Caller::Caller(const std::string &address, int receiveBuffer)
+    : m_socket(Poco::Net::SocketAddress::IPv4)
 {
+    if (receiveBuffer > 0)
+        m_socket.setReceiveBufferSize(receiveBuffer);
     m_socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(1, 0));
 }
 
--- a/tests/node/support/nodes.h
+++ b/tests/node/support/nodes.h
@@ -43,7 +43,8 @@
 class Caller
 {
 public:
-    explicit Caller(const std::string &address);
+    /// @param receiveBuffer Size of the kernel's receive buffer in bytes; zero: its default.
+    explicit Caller(const std::string &address, int receiveBuffer = 0);
 
     void send(const std::string &bytes);
     Response receive(const std::string &method = "GET", Milliseconds timeout = Milliseconds(5'000));
--- a/tests/parts/instance_shutdown_plan_test.cpp
+++ b/tests/parts/instance_shutdown_plan_test.cpp
@@ -51,7 +51,9 @@
     request.requests = 1;
     Obligations connection;
     connection.connections = 1;
-    for (const Obligations &owed : { request, connection }) {
+    Obligations bytes;
+    bytes.bytes = 1;
+    for (const Obligations &owed : { request, connection, bytes }) {
         CHECK_FALSE(mayExit(ShutdownStage::Draining, owed));
         CHECK_FALSE(mayExit(ShutdownStage::Refusing, owed));
         CHECK_FALSE(mayExit(ShutdownStage::Aborting, owed));
