Judge the progress of a closing stream by acknowledged bytes

Cause: the linger timer took no new room in the kernel's send buffer for a peer that reads nothing. With a large buffer the kernel reports room only after more than a second of steady reading. Change: the timer looks at unsent and unacknowledged bytes. A closing stream ends 2.5 s after the last progress, or a second after everything has arrived. Why it works: each acknowledgement counts, so only a peer that acknowledges nothing for 2.5 s is given up, as on open connections.

--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -26,8 +26,11 @@
 constexpr int keepAliveIdleS = 1;
 constexpr int keepAliveIntervalS = 1;
 constexpr int keepAliveProbes = 2;
-// Time that the peer has to close its side after this side has shut down sending.
+// A closing connection whose peer acknowledges nothing for this long has failed, too.
+constexpr Milliseconds deliveryTimeout = Milliseconds(userTimeoutMs);
+// Time that the peer has to close its side after it has received everything.
 constexpr Milliseconds lingerTimeout = Milliseconds(1'000);
+constexpr Milliseconds lingerCheckInterval = Milliseconds(500);
 constexpr std::size_t readBufferBytes = 16UL * 1024; // most messages fit into one read
 constexpr int maxReadsPerCallback = 8; // a peer that sends fast must not starve other connections
 constexpr int listenBacklog = 512; // absorbs many callers that reconnect at the same time
@@ -189,6 +192,8 @@
     m_listener = nullptr;
     m_isClosing = true;
     m_isPaused = false;
+    m_undelivered = undelivered();
+    m_deliveredAt = m_reactor.now();
     startLingerTimer();
     flush();
 }
@@ -196,13 +201,23 @@
 void TcpStream::startLingerTimer()
 {
     // The timer owns the stream, because the reactor may have stopped watching it.
-    m_closeTimer =
-        m_reactor.after(lingerTimeout, [stream = shared_from_this(), unsentBefore = unsent()] {
-            if (stream->unsent() > 0 && stream->unsent() < unsentBefore)
-                stream->startLingerTimer();
-            else
-                stream->close();
-        });
+    m_closeTimer = m_reactor.after(lingerCheckInterval,
+                                   [stream = shared_from_this()] { stream->checkDelivery(); });
+}
+
+void TcpStream::checkDelivery()
+{
+    // The room in the kernel's send buffer is no measure of progress: the kernel reports it only
+    // after a large part of the buffer has been acknowledged.
+    const std::size_t left = undelivered();
+    if (left < m_undelivered)
+        m_deliveredAt = m_reactor.now();
+    m_undelivered = left;
+    const Milliseconds timeout = left > 0 ? deliveryTimeout : lingerTimeout;
+    if (m_reactor.now() - m_deliveredAt >= timeout)
+        close();
+    else
+        startLingerTimer();
 }
 
 void TcpStream::receive()
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -86,8 +86,10 @@
     ///        is killed. `closeGracefully` ends it properly once all bytes have been sent.
     void resetOnClose();
 
-    /// @brief Flushes the output, shuts down the sending side, and waits up to one second for the
-    ///        peer to close its side (lingering close), or longer while the peer reads.
+    /// @brief Flushes the output, shuts down the sending side, and waits about a second for the
+    ///        peer to close its side (lingering close). That time begins when the peer has received
+    ///        everything; before that, the stream ends if the peer acknowledges nothing for 2.5
+    ///        seconds.
     ///
     /// Closing a socket with unread input would reset the connection, and the peer could lose the
     /// end of the last response. Input is therefore discarded until then, unless `leaveInput` was
@@ -117,6 +119,9 @@
 private:
     void setLinger(bool isEnabled);
     void startLingerTimer();
+
+    /// @brief Closes a closing stream whose peer has received everything or acknowledges nothing.
+    void checkDelivery();
     void startWatching(int mode);
     void readSome();
 
@@ -134,6 +139,8 @@
     std::string m_output;
     std::size_t m_sent = 0;
     TimerId m_closeTimer = 0;
+    std::size_t m_undelivered = 0; ///< At the last check of a closing stream.
+    Milliseconds m_deliveredAt; ///< When a closing stream last made progress.
     int m_mode = 0;
     bool m_isOpen = true;
     bool m_isConnected = false;
