Measure the delivery to callers without the kernel's time-out

Cause: TCP_USER_TIMEOUT ends a connection now and then although its peer acknowledges data; a trial log line showed ETIMEDOUT 0.4 s after the last progress. Change: accepted connections have no such option. TcpStream ends them when nothing is acknowledged for 2.5 s, open or closing, and logs it. Why it works: each acknowledged byte starts the time anew.

--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -21,16 +21,14 @@
 
 // A connection whose data is not acknowledged within this time has failed. Callers' latency
 // objectives are a few seconds, so the kernel's default of minutes is too long.
-constexpr int userTimeoutMs = 2'500;
+constexpr Milliseconds deliveryTimeout = Milliseconds(2'500);
+constexpr Milliseconds deliveryCheckInterval = Milliseconds(500);
 // Together, the keep-alive settings detect a dead idle connection within three seconds.
 constexpr int keepAliveIdleS = 1;
 constexpr int keepAliveIntervalS = 1;
 constexpr int keepAliveProbes = 2;
-// A closing connection whose peer acknowledges nothing for this long has failed, too.
-constexpr Milliseconds deliveryTimeout = Milliseconds(userTimeoutMs);
 // Time that the peer has to close its side after it has received everything.
 constexpr Milliseconds lingerTimeout = Milliseconds(1'000);
-constexpr Milliseconds lingerCheckInterval = Milliseconds(500);
 constexpr std::size_t readBufferBytes = 16UL * 1024; // most messages fit into one read
 constexpr int maxReadsPerCallback = 8; // a peer that sends fast must not starve other connections
 constexpr int listenBacklog = 512; // absorbs many callers that reconnect at the same time
@@ -43,7 +41,6 @@
     socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleS);
     socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalS);
     socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
 }
 
 } // namespace
@@ -57,6 +54,8 @@
         socket.connectNB(Poco::Net::SocketAddress(address));
         stream = std::make_shared<TcpStream>(reactor, socket, listener);
         setOptions(stream->m_socket);
+        stream->m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                                   static_cast<int>(deliveryTimeout.count()));
         stream->startWatching(PollSet::POLL_READ | PollSet::POLL_WRITE | PollSet::POLL_ERROR);
     } catch (const Poco::Exception &error) {
         LOG(WARNING) << "net: cannot connect address=" << address << " reason=\""
@@ -72,6 +71,7 @@
 {
     std::shared_ptr<TcpStream> stream = std::make_shared<TcpStream>(reactor, socket, listener);
     stream->m_isConnected = true;
+    stream->m_isAccepted = true;
     try {
         setOptions(stream->m_socket);
         stream->startWatching(PollSet::POLL_READ | PollSet::POLL_ERROR);
@@ -131,6 +131,11 @@
     if (!m_isOpen || m_isClosing)
         return;
     m_output.append(bytes);
+    m_written += bytes.size();
+    if (m_isAccepted && m_deliveryTimer == 0) {
+        m_deliveredAt = m_reactor.now();
+        startDeliveryTimer();
+    }
     if (m_isConnected)
         flush();
 }
@@ -156,7 +161,7 @@
     const std::shared_ptr<TcpStream> self = weak_from_this().lock();
     m_isOpen = false;
     m_listener = nullptr;
-    m_reactor.cancel(m_closeTimer);
+    m_reactor.cancel(m_deliveryTimer);
     m_reactor.unwatch(m_socket);
     m_socket.close();
 }
@@ -192,32 +197,49 @@
     m_listener = nullptr;
     m_isClosing = true;
     m_isPaused = false;
-    m_undelivered = undelivered();
     m_deliveredAt = m_reactor.now();
-    startLingerTimer();
+    startDeliveryTimer();
     flush();
 }
 
-void TcpStream::startLingerTimer()
+void TcpStream::startDeliveryTimer()
 {
+    m_reactor.cancel(m_deliveryTimer);
     // The timer owns the stream, because the reactor may have stopped watching it.
-    m_closeTimer = m_reactor.after(lingerCheckInterval,
-                                   [stream = shared_from_this()] { stream->checkDelivery(); });
+    m_deliveryTimer = m_reactor.after(deliveryCheckInterval, [stream = shared_from_this()] {
+        stream->m_deliveryTimer = 0;
+        stream->checkDelivery();
+    });
 }
 
 void TcpStream::checkDelivery()
 {
-    // The room in the kernel's send buffer is no measure of progress: the kernel reports it only
-    // after a large part of the buffer has been acknowledged.
+    // Neither the room in the kernel's send buffer nor TCP_USER_TIMEOUT is a measure of progress.
+    // The kernel reports room only after a large part of the buffer has been acknowledged, and the
+    // time-out also ends connections to peers that read steadily through a small window.
     const std::size_t left = undelivered();
-    if (left < m_undelivered)
+    const std::size_t delivered = m_written - std::min(left, m_written);
+    if (delivered > m_delivered) {
+        m_delivered = delivered;
         m_deliveredAt = m_reactor.now();
-    m_undelivered = left;
-    const Milliseconds timeout = left > 0 ? deliveryTimeout : lingerTimeout;
-    if (m_reactor.now() - m_deliveredAt >= timeout)
+    }
+    if (left == 0 && !m_isClosing)
+        return;
+    const Milliseconds quietTime = m_reactor.now() - m_deliveredAt;
+    if (quietTime < (left > 0 ? deliveryTimeout : lingerTimeout)) {
+        startDeliveryTimer();
+        return;
+    }
+    if (left > 0)
+        LOG(INFO) << "net: peer acknowledges nothing peer=" << peerHost()
+                  << " closing=" << m_isClosing << " unsent=" << unsent() << " undelivered=" << left
+                  << " quiet_ms=" << quietTime.count();
+    if (m_isClosing) {
         close();
-    else
-        startLingerTimer();
+        return;
+    }
+    resetOnClose();
+    finish(StreamEnd::Reset);
 }
 
 void TcpStream::receive()
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -38,7 +38,8 @@
 /// @brief A buffered, non-blocking TCP connection driven by a reactor.
 ///
 /// I/O errors end the stream instead of throwing. A peer that has stopped responding is detected by
-/// TCP keep-alive probes and by a time limit on unacknowledged data.
+/// TCP keep-alive probes and by a time limit on unacknowledged data. On accepted connections, a
+/// peer that reads slowly is within that limit as long as it acknowledges anything.
 class TcpStream
     : public SocketWatcher
     , public std::enable_shared_from_this<TcpStream>
@@ -118,9 +119,10 @@
 
 private:
     void setLinger(bool isEnabled);
-    void startLingerTimer();
+    void startDeliveryTimer();
 
-    /// @brief Closes a closing stream whose peer has received everything or acknowledges nothing.
+    /// @brief Ends the stream if its peer acknowledges nothing, or has received everything of a
+    ///        closing stream.
     void checkDelivery();
     void startWatching(int mode);
     void readSome();
@@ -138,13 +140,15 @@
     std::string m_input;
     std::string m_output;
     std::size_t m_sent = 0;
-    TimerId m_closeTimer = 0;
-    std::size_t m_undelivered = 0; ///< At the last check of a closing stream.
-    Milliseconds m_deliveredAt; ///< When a closing stream last made progress.
+    TimerId m_deliveryTimer = 0; ///< Runs while output is on its way, and while closing.
+    std::size_t m_written = 0; ///< Total of all output.
+    std::size_t m_delivered = 0; ///< Part of it that the peer had acknowledged at the last check.
+    Milliseconds m_deliveredAt; ///< When `m_delivered` last rose.
     int m_mode = 0;
     bool m_isOpen = true;
     bool m_isConnected = false;
     bool m_isPaused = false;
+    bool m_isAccepted = false;
     bool m_isClosing = false;
     bool m_leavesInput = false;
 };
--- a/tests/platform/tcp_stream_test.cpp
+++ b/tests/platform/tcp_stream_test.cpp
@@ -1,10 +1,12 @@
 #include <doctest/doctest.h>
 
-#include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
+#include <netinet/tcp.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -90,3 +92,64 @@
     const Delivery delivery = deliver("127.0.0.1:18432", 0_ms, 6'000_ms);
     CHECK(delivery.closedAfter < 4'500_ms);
 }
+
+// Guards against the end of a response at a reader with a small window: the kernel's time-out on
+// unacknowledged data ends such connections now and then although they make progress. No input
+// triggers that reliably, so the option itself is checked. Review case 3.
+TEST_CASE("accepted connections have no kernel time-out on unacknowledged data")
+{
+    net::Reactor reactor;
+    int timeoutMs = -1;
+    const std::shared_ptr<net::Listener> listener =
+        net::Listener::open(reactor, "127.0.0.1:18433", [&](const Poco::Net::StreamSocket &socket) {
+            const std::shared_ptr<net::TcpStream> stream =
+                net::TcpStream::adopt(reactor, socket, nullptr);
+            Poco::Net::StreamSocket(socket).getOption(IPPROTO_TCP, TCP_USER_TIMEOUT, timeoutMs);
+            stream->close();
+            reactor.stop();
+        });
+    const Poco::Net::StreamSocket peer(Poco::Net::SocketAddress("127.0.0.1:18433"));
+    reactor.run();
+    CHECK(timeoutMs == 0);
+}
+
+TEST_CASE("an accepted stream ends when its peer acknowledges nothing, and not before")
+{
+    class EndRecorder : public net::StreamListener
+    {
+    public:
+        void onBytes() override { }
+        void onEnd(net::StreamEnd end) override { m_end = end; }
+        bool hasEnded() const { return m_end.has_value(); }
+
+    private:
+        std::optional<net::StreamEnd> m_end;
+    };
+    net::Reactor reactor;
+    EndRecorder recorder;
+    std::shared_ptr<net::TcpStream> stream;
+    const std::shared_ptr<net::Listener> listener =
+        net::Listener::open(reactor, "127.0.0.1:18434", [&](const Poco::Net::StreamSocket &socket) {
+            stream = net::TcpStream::adopt(reactor, socket, &recorder);
+            stream->write(std::string(8'000'000, 'x')); // more than the kernel's buffers hold
+        });
+    Poco::Net::StreamSocket peer(Poco::Net::SocketAddress::IPv4);
+    peer.setReceiveBufferSize(receiveBufferBytes);
+    peer.connect(Poco::Net::SocketAddress("127.0.0.1:18434"));
+    const Milliseconds start = monotonicNow();
+    Milliseconds lastReadAt = start;
+    char buffer[65'536];
+    reactor.every(100_ms, [&] {
+        if (monotonicNow() - start < 3'500_ms) {
+            CHECK_FALSE(recorder.hasEnded());
+            peer.receiveBytes(buffer, sizeof buffer);
+            lastReadAt = monotonicNow();
+        }
+        if (recorder.hasEnded() || monotonicNow() - start > 9'000_ms)
+            reactor.stop();
+    });
+    reactor.run();
+    CHECK(recorder.hasEnded());
+    CHECK(monotonicNow() - lastReadAt >= 2'000_ms);
+    CHECK(monotonicNow() - lastReadAt < 4'500_ms);
+}
