Bound the numbers of registry entries and check their addresses

What callers saw: with one entry of 2^32 slots, all requests of a service at one target (60 of 60 of three). Cause: slots was cast to int and became zero; a load divided by it compares as the smallest. coldLeftMs beyond 64 bits is undefined, with another result on each kind of machine. An address with a port out of range or a host name was tried by each request. Change: such entries are unreadable, which leaves the others alone; times and the numbers of a configuration are bounded; documents nest 64 levels. Why it works: no value that was read can be zero, negative or overflow where planner, capacity and cold limits divide by it or add it to a time. Deep nesting was rejected before, by POCO's own limit.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -93,6 +93,114 @@
     }
 }
 
+namespace {
+
+std::string entryText(const std::string &slots, const std::string &coldLeft,
+                      const std::string &address = "10.0.0.1:80")
+{
+    return R"({"service":"s","zone":"z","state":"ready","address":")" + address + R"(","slots":)"
+           + slots + R"(,"coldLeftMs":)" + coldLeft + '}';
+}
+
+} // namespace
+
+// Guards against a target that draws all requests: a number of slots that fits no `int` became zero
+// or less, and a load divided by it compares as the smallest.
+TEST_CASE("a registry entry whose number of slots fits no int is rejected")
+{
+    for (const std::string slots : { "4294967296", "4294967297", "2147483648", "9007199254740992",
+                                     "-4294967295", "1e300", "1e999", "0.5" }) {
+        CAPTURE(slots);
+        CHECK_FALSE(platform::readTargetEntry(TargetId("a"), entryText(slots, "0")).has_value());
+    }
+    CHECK_FALSE(platform::readTargetEntry(TargetId("a"), entryText(std::string(400, '9'), "0"))
+                    .has_value());
+}
+
+// Guards against a time that fits no 64 bits: its conversion is undefined, and gives the greatest
+// time on one kind of machine and the least on another.
+TEST_CASE("the cold time of a registry entry is within bounds on all machines")
+{
+    for (const std::string coldLeft : { "1e300", "9e18", "1e19", "700000" }) {
+        CAPTURE(coldLeft);
+        const std::optional<fleet::TargetEntry> entry =
+            platform::readTargetEntry(TargetId("a"), entryText("6", coldLeft));
+        REQUIRE(entry.has_value());
+        CHECK(entry->coldLeft == 600'000_ms);
+    }
+    for (const std::string coldLeft : { "-1e300", "-1", "null", "\"1\"" }) {
+        CAPTURE(coldLeft);
+        const std::optional<fleet::TargetEntry> entry =
+            platform::readTargetEntry(TargetId("a"), entryText("6", coldLeft));
+        REQUIRE(entry.has_value());
+        CHECK(entry->coldLeft == 0_ms);
+    }
+}
+
+// Guards against a host name, whose look-up would block the event loop, and against ids and
+// addresses that end a header field.
+TEST_CASE("a registry entry is rejected unless its address is an IP address and a port")
+{
+    for (const std::string address :
+         { "10.0.0.1:99999", "10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1",
+           "10.0.0.1:", "10.0.0.1:18446744073709551696", ":80", "10.0.0.999:80", "host.example:80",
+           "10.0.0.1:http", "10.0.0.1:80:80", "10.0.0.1:80\\r\\nX: y", "10.0.0.1:80 " }) {
+        CAPTURE(address);
+        CHECK_FALSE(
+            platform::readTargetEntry(TargetId("a"), entryText("6", "0", address)).has_value());
+    }
+    for (const std::string address : { "10.0.0.1:1", "10.0.0.1:65535", "127.0.0.1:8080" })
+        CHECK(platform::readTargetEntry(TargetId("a"), entryText("6", "0", address)).has_value());
+    for (const char *id : { "a\r\nX: y", "a b", "a\n" })
+        CHECK_FALSE(platform::readTargetEntry(TargetId(id), entryText("6", "0")).has_value());
+}
+
+TEST_CASE("documents that nest deeply are rejected")
+{
+    for (const std::size_t depth : { 65U, 1'000U, 500'000U }) {
+        CAPTURE(depth);
+        const std::string list = std::string(depth, '[') + std::string(depth, ']');
+        CHECK_FALSE(platform::readTargetEntry(TargetId("a"), list).has_value());
+        CHECK_FALSE(platform::readTargetEntry(TargetId("a"), entryText("6", list)).has_value());
+        CHECK_FALSE(
+            platform::readConfiguration("{\"version\":1,\"routes\":" + list + ",\"services\":[]}")
+                .has_value());
+    }
+}
+
+// Guards against a division by zero in the planner: such a number became zero.
+TEST_CASE("numbers of a configuration that fit no int are bounded")
+{
+    for (const char *number : { "4294967296", "-4294967296", "0", "1e300", "-1e300" }) {
+        CAPTURE(number);
+        std::string text =
+            R"({"version":7,"routes":[{"name":"a","host":"h","prefix":"/p/","kind":"streaming",)"
+            R"("timeoutMs":#,"attempts":#,"priority":#,"backends":[{"service":"s","weight":1},)"
+            R"({"service":"t","weight":#}]}],"services":[{"name":"s","coldPerS":#,"engine":)"
+            R"({"slots":#,"chunk":#,"stride":#,"read_per_s":#,"step_ms":#}}]})";
+        for (std::size_t mark = text.find('#'); mark != std::string::npos; mark = text.find('#'))
+            text.replace(mark, 1, number);
+        const tl::expected<fleet::Configuration, std::string> read =
+            platform::readConfiguration(text);
+        REQUIRE(read.has_value());
+        const fleet::Route &route = read->routes[0];
+        CHECK(route.timeout >= Milliseconds(-1'000'000'000'000));
+        CHECK(route.timeout <= Milliseconds(1'000'000'000'000));
+        CHECK(route.maxTargets >= 1);
+        CHECK(route.priority >= 0);
+        CHECK(route.shares[0].weight == 1);
+        const fleet::ServiceSpec *service = fleet::findService(*read, ServiceId("s"));
+        REQUIRE(service != nullptr);
+        CHECK(service->coldRequestsPerSecond >= 0);
+        CHECK(service->coldRequestsPerSecond <= 1e9);
+        CHECK(service->engine->slots >= 1);
+        CHECK(service->engine->chunkTokens >= 1);
+        CHECK(service->engine->stepsPerEvent >= 1);
+        CHECK(service->engine->prefillTokensPerMs > 0);
+        CHECK(service->engine->stepMs >= 0);
+    }
+}
+
 TEST_CASE("a page of the store is converted to changes, and unknown keys are skipped")
 {
     const std::optional<platform::RegistryPage> page = platform::readPage(
