Take no refusal without a request id for the answer to a request

What callers saw: 503 (not run, try again) or an old error for a request that a target was running, after the target had written an earlier response once more on a kept connection. Requests that may run at most once were affected only by a refusal without an id at the start of a new connection. Cause: TargetSend took an error without Request-Id for the answer to the request in hand; an id that is sent again on the same connection can't tell an old response from the new one. Change: without an id, no response on a reused connection counts, and no refusal on any. The pool doesn't send a request on a connection that is among the latest 16 to have carried it. Why it works: each response that counts states an id that the connection has carried once.

--- a/apps/node/target_pool.cpp
+++ b/apps/node/target_pool.cpp
@@ -1,6 +1,7 @@
 #include "target_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -23,6 +24,8 @@
 constexpr Milliseconds noticeSweepInterval = Milliseconds(1'000);
 // Enough for a burst of requests from one instance to one target.
 constexpr std::size_t maxIdlePerTarget = 16;
+// On one connection, a repeated response follows the original within a few requests.
+constexpr std::size_t maxRememberedRequests = 16;
 // The ejection time doubles with each consecutive failure, up to the maximum.
 constexpr Milliseconds initialEjectionTime = Milliseconds(700);
 constexpr Milliseconds maxEjectionTime = Milliseconds(5'000);
@@ -38,31 +41,38 @@
 class TargetPool::IdleConnection : private net::StreamListener
 {
 public:
-    IdleConnection(std::shared_ptr<net::TcpStream> stream, Milliseconds until)
-        : m_stream(std::move(stream))
+    IdleConnection(TargetConnection connection, Milliseconds until)
+        : m_connection(std::move(connection))
         , m_until(until)
     {
-        m_stream->setListener(this);
+        m_connection.stream->setListener(this);
     }
     ~IdleConnection() override
     {
-        if (m_stream)
-            m_stream->close();
+        if (m_connection.stream)
+            m_connection.stream->close();
     }
 
     bool isUsable(Milliseconds now) const
     {
-        return m_stream && m_stream->isOpen() && now < m_until;
+        return m_connection.stream && m_connection.stream->isOpen() && now < m_until;
     }
 
-    std::shared_ptr<net::TcpStream> acquire() { return std::move(m_stream); }
+    /// @brief Returns whether a request was among the latest ones on the connection.
+    bool hasCarried(std::uint64_t request) const
+    {
+        return std::find(m_connection.requests.begin(), m_connection.requests.end(), request)
+               != m_connection.requests.end();
+    }
+
+    TargetConnection acquire() { return std::exchange(m_connection, {}); }
 
 private:
     // Unsolicited bytes, such as a second response, must not reach the next caller.
-    void onBytes() override { m_stream->close(); }
+    void onBytes() override { m_connection.stream->close(); }
     void onEnd(net::StreamEnd) override { }
 
-    std::shared_ptr<net::TcpStream> m_stream;
+    TargetConnection m_connection;
     Milliseconds m_until;
 };
 
@@ -98,33 +108,47 @@
 }
 
 TargetConnection TargetPool::acquire(const fleet::TargetEntry &target, bool needsNewConnection,
-                                     net::StreamListener *listener)
+                                     const std::string &requestId, net::StreamListener *listener)
 {
     std::list<std::shared_ptr<IdleConnection>> &idle = m_idle[target.id.value];
-    while (!needsNewConnection && !idle.empty()) {
-        // The most recently used connection is the least likely to be stale.
-        const std::shared_ptr<IdleConnection> last = idle.back();
-        idle.pop_back();
-        if (!last->isUsable(m_reactor.now()))
+    const std::uint64_t request = stableHash(requestId);
+    TargetConnection connection;
+    // The most recently used connection is the least likely to be stale.
+    for (auto position = idle.end(); !needsNewConnection && position != idle.begin();) {
+        --position;
+        if (!(*position)->isUsable(m_reactor.now())) {
+            position = idle.erase(position);
+            continue;
+        }
+        // A target that repeats an earlier response would seem to answer the request that is sent
+        // again.
+        if ((*position)->hasCarried(request))
             continue;
-        const std::shared_ptr<net::TcpStream> stream = last->acquire();
-        stream->setListener(listener);
-        return { stream, true };
+        connection = (*position)->acquire();
+        connection.stream->setListener(listener);
+        connection.isReused = true;
+        idle.erase(position);
+        break;
     }
-    return { net::TcpStream::connect(m_reactor, target.address, listener), false };
+    if (!connection.stream)
+        connection.stream = net::TcpStream::connect(m_reactor, target.address, listener);
+    if (connection.requests.size() >= maxRememberedRequests)
+        connection.requests.erase(connection.requests.begin());
+    connection.requests.push_back(request);
+    return connection;
 }
 
-void TargetPool::release(const TargetId &target, const std::shared_ptr<net::TcpStream> &stream,
+void TargetPool::release(const TargetId &target, TargetConnection connection,
                          std::optional<Milliseconds> idleTimeout)
 {
     std::list<std::shared_ptr<IdleConnection>> &idle = m_idle[target.value];
     const Milliseconds time = idleTimeout.value_or(defaultIdleTimeout) - idleMargin;
-    if (!stream->isOpen() || !stream->input().empty() || time <= Milliseconds()
-        || idle.size() >= maxIdlePerTarget) {
-        stream->close();
+    if (!connection.stream->isOpen() || !connection.stream->input().empty()
+        || time <= Milliseconds() || idle.size() >= maxIdlePerTarget) {
+        connection.stream->close();
         return;
     }
-    idle.push_back(std::make_shared<IdleConnection>(stream, m_reactor.now() + time));
+    idle.push_back(std::make_shared<IdleConnection>(std::move(connection), m_reactor.now() + time));
 }
 
 void TargetPool::recordSuccess(placement::EngineKey target)
--- a/apps/node/target_pool.h
+++ b/apps/node/target_pool.h
@@ -50,6 +50,7 @@
 {
     std::shared_ptr<net::TcpStream> stream;
     bool isReused = false;
+    std::vector<std::uint64_t> requests; ///< Hashes of the ids of the latest requests on it.
 };
 
 /// @brief Pools idle connections to targets and tracks the health of each target.
@@ -68,12 +69,12 @@
     /// @param needsNewConnection True for a request that must not be retried: if the target closes
     ///        a reused connection at that moment, it is unknown whether the request was executed.
     TargetConnection acquire(const fleet::TargetEntry &target, bool needsNewConnection,
-                             net::StreamListener *listener);
+                             const std::string &requestId, net::StreamListener *listener);
 
     /// @brief Returns a connection to the pool after a complete response. Closes it instead if it
     ///        cannot be reused or the pool is full.
     /// @param idleTimeout Time for which the target keeps the idle connection open, if stated.
-    void release(const TargetId &target, const std::shared_ptr<net::TcpStream> &stream,
+    void release(const TargetId &target, TargetConnection connection,
                  std::optional<Milliseconds> idleTimeout);
 
     TargetHealth &health(placement::EngineKey target) { return m_health[target]; }
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -57,7 +57,7 @@
     m_interimBytes = m_discardedBytes = m_bodyBytes = 0;
     m_fields = {};
     ++m_pool.health(keyOf(m_target.id)).inFlight;
-    m_connection = m_pool.acquire(m_target, needsNewConnection, this);
+    m_connection = m_pool.acquire(m_target, needsNewConnection, m_requestId, this);
     if (m_connection.isReused) {
         if (m_listener.maySend())
             writeRequest();
@@ -170,8 +170,12 @@
     m_reader = http::makeBodyReader(*framing);
     m_hasHead = true;
     const bool hasNoRequestId = m_fields.requestId.empty();
-    const bool isSuccess = m_head.status < 300;
-    m_isUnrelated = hasNoRequestId ? isSuccess : m_fields.requestId != m_requestId;
+    // Targets state the id in all their responses. Without it, an error at the start of a
+    // connection may come from a proxy; that the request was not executed is taken from no such
+    // response.
+    const bool isPlainError = m_head.status >= 300 && !m_fields.isDeclined;
+    m_isUnrelated =
+        hasNoRequestId ? m_connection.isReused || !isPlainError : m_fields.requestId != m_requestId;
     if (m_isUnrelated) {
         LOG(WARNING) << "targets: response to another request discarded target="
                      << m_target.id.value << " id=" << m_requestId
@@ -325,15 +329,15 @@
     m_reactor.cancel(m_endCheckTimer);
     m_reactor.cancel(m_connectTimer);
     --m_pool.health(keyOf(m_target.id)).inFlight;
-    const std::shared_ptr<net::TcpStream> stream = std::move(m_connection.stream);
+    TargetConnection connection = m_connection;
     m_connection.stream.reset();
-    if (!stream)
+    if (!connection.stream)
         return;
-    stream->pauseInput(false);
+    connection.stream->pauseInput(false);
     if (mayReuse)
-        m_pool.release(m_target.id, stream, m_fields.keepAliveTimeout);
+        m_pool.release(m_target.id, std::move(connection), m_fields.keepAliveTimeout);
     else
-        stream->close();
+        connection.stream->close();
 }
 
 } // namespace egretmount::node
--- a/tests/node/support/standin.cpp
+++ b/tests/node/support/standin.cpp
@@ -183,6 +183,8 @@
             if (m_owner.m_recorder)
                 m_owner.m_recorder(m_arrival);
         }
+        if (!m_script.precedingBytes.empty())
+            m_stream->write(m_script.precedingBytes);
         if (isMisdirected) {
             respond(421, "", "Instance-Id: " + m_target + "\r\n");
         } else if (m_script.declines) {
@@ -249,6 +251,12 @@
         m_stream->write(responseHead(status, fields)
                         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         m_isBusy = false;
+        if (!m_script.followingBytes.empty()) {
+            m_owner.m_reactor.after(m_script.followingDelay,
+                                    [self = shared_from_this(), bytes = m_script.followingBytes] {
+                                        self->m_stream->write(bytes);
+                                    });
+        }
     }
 
     void respondPlain()
--- a/tests/node/support/standin.h
+++ b/tests/node/support/standin.h
@@ -47,6 +47,9 @@
     std::string body = "ok";
     std::string eventLabel; ///< Appended to the data of each event.
     bool endsBeforeLastChunk = false; ///< Breaks off after the last event of a stream.
+    std::string precedingBytes; ///< Sent before the response, as by a target that repeats itself.
+    std::string followingBytes; ///< Sent `followingDelay` after the response.
+    Milliseconds followingDelay = Milliseconds(20);
     bool breaksWithFin = false; ///< Ends the connection with FIN although the target runs on.
 };
 
