Pass on no text of an error within a resumed stream

What callers saw: text such as "error: overloaded" or the whole head of an error within their stream, which ended as complete. Cause: in a response that resumes a stream, each part without data and id counted as a comment, and comments need not follow the earlier events. Change: there, only lines that begin with a colon, and retry, may stand without an event. Why it works: what remains are events, whose ids must rise, and comments.

--- a/src/http/event_scanner.cpp
+++ b/src/http/event_scanner.cpp
@@ -23,6 +23,7 @@
 {
     std::string_view id; ///< Empty if there is none.
     bool hasData = false;
+    bool hasOther = false; ///< A line is neither a comment nor a field that needs no data.
 };
 
 EventFields fieldsOf(std::string_view event)
@@ -35,8 +36,12 @@
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
         fields.hasData = fields.hasData || line == "data" || line.substr(0, 5) == "data:";
-        if (line.substr(0, 3) != "id:")
+        if (line.substr(0, 3) != "id:") {
+            const bool isEmptyOrComment = line.empty() || line.front() == ':';
+            fields.hasOther =
+                fields.hasOther || !(isEmptyOrComment || line.substr(0, 6) == "retry:");
             continue;
+        }
         line.remove_prefix(3);
         if (!line.empty() && line.front() == ' ')
             line.remove_prefix(1);
@@ -57,7 +62,8 @@
 {
     const EventFields fields = fieldsOf(event);
     const bool isComment = !fields.hasData && fields.id.empty();
-    if (isComment) {
+    // The text of an error may look like an event without data.
+    if (isComment && !(scanner.isResumed && fields.hasOther)) {
         ++scanner.count;
         return true;
     }
--- a/tests/parts/http_body_test.cpp
+++ b/tests/parts/http_body_test.cpp
@@ -167,7 +167,8 @@
     CHECK(scanner.lastId == "11");
     CHECK(http::extractEvents(scanner, "id: 13\ndata: e\n\n").empty());
 
-    for (const char *first : { "id: 9\ndata: x\n\n", "id: 1\ndata: x\n\n", "data: x\n\n" }) {
+    for (const char *first : { "id: 9\ndata: x\n\n", "id: 1\ndata: x\n\n", "data: x\n\n",
+                               "error: x\n\n", "x\n\n", ": x\nx\r\n\r\n" }) {
         CAPTURE(first);
         http::EventScanner resumed;
         http::extractEvents(resumed, "id: 9\ndata: a\n\n");
