Refuse requests from 2.8 s after the stop signal

What callers saw: a request that came between 3.0 and 3.2 s after the stop signal was accepted, and aborted at the end of the grace period if it lasted that long. Change: 35 %, 2.8 s at most. Evidence: the new case of instance_shutdown_plan_test fails before and passes after; shutdown_test has a case of the refusal.

--- a/include/egretmount/http/event_scanner.h
+++ b/include/egretmount/http/event_scanner.h
@@ -33,8 +33,8 @@
 ///
 /// After an event that is too long, nothing more is returned. One that the sender does not finish
 /// stays in `partial`, so callers never see an incomplete event. In a response that resumes the
-/// stream, ids must increase: the first event whose id does not, or text that is neither an event nor
-/// a comment, sets `isOutOfOrder`, and neither it nor anything after it is returned.
+/// stream, ids must increase: the first event whose id does not, or text that is neither an event
+/// nor a comment, sets `isOutOfOrder`, and neither it nor anything after it is returned.
 /// @complexity Linear in the length of `bytes`, amortized over the calls for one stream.
 std::string extractEvents(EventScanner &scanner, std::string_view bytes);
 
--- a/src/instance/shutdown_plan.cpp
+++ b/src/instance/shutdown_plan.cpp
@@ -10,9 +10,10 @@
 // and callers cache directory responses.
 constexpr Milliseconds maxAnnouncing = Milliseconds(1'500);
 constexpr double announcingShare = 0.25;
-// By then callers have fetched a directory without this instance.
-constexpr Milliseconds maxServing = Milliseconds(3'200);
-constexpr double servingShare = 0.4;
+// By then callers have fetched a directory without this instance. The platform's rules excuse the
+// end of a request at the end of the grace period only if it was sent within three seconds.
+constexpr Milliseconds maxServing = Milliseconds(2'800);
+constexpr double servingShare = 0.35;
 // Time kept for the last responses and the exit; the least values are for short grace periods.
 constexpr double abortingShare = 0.06;
 constexpr Milliseconds minAborting = Milliseconds(120);
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -177,6 +177,29 @@
     }
 }
 
+// Guards against a request that is accepted so late in a shutdown that its execution is aborted at
+// the end of the grace period.
+TEST_CASE("a request that comes three seconds after the stop signal is refused")
+{
+    StoppingCluster cluster;
+    cluster.standIn.setScript([](const Arrival &arrival) {
+        return isStream(arrival) ? streamOf(19, 100_ms) : plainAfter(50_ms);
+    });
+    Caller kept(cluster.nodes.callerAddress(0));
+    kept.send(plainRequest("read", "first").text());
+    CHECK(kept.receive().isComplete);
+    cluster.stop();
+    cluster.sleepUntil(1'400_ms);
+    kept.send(streamRequest("holding").text());
+    CHECK(kept.receive("POST", 3'000_ms).isComplete);
+    const Response late = sendOnKept(cluster, kept, plainRequest("pay", "late"));
+    CHECK(monotonicNow() - cluster.stoppedAt >= 3'000_ms);
+    CHECK(monotonicNow() - cluster.stoppedAt < 3'500_ms);
+    CHECK((late.status == 503 || late.status == 0));
+    CHECK(cluster.standIn.arrivalsOf("late").empty());
+    cluster.checkExit();
+}
+
 TEST_CASE("pipelined requests are all answered during a shutdown")
 {
     StoppingCluster cluster;
--- a/tests/parts/instance_shutdown_plan_test.cpp
+++ b/tests/parts/instance_shutdown_plan_test.cpp
@@ -29,6 +29,15 @@
         CHECK(shutdownPlan(Milliseconds(grace)).aborting.count() >= grace * 5 / 6);
 }
 
+// Guards against a request that is accepted later than three seconds after the stop signal and is
+// still running at the end of the grace period, where it is aborted.
+TEST_CASE("requests are refused before the end of their execution would be lost")
+{
+    constexpr Milliseconds noticeDelay = 100_ms; // until the stop signal is seen
+    for (std::int64_t grace = 0; grace <= 60'000; grace += 100)
+        CHECK(shutdownPlan(Milliseconds(grace)).refusing + noticeDelay < 3'000_ms);
+}
+
 TEST_CASE("the stage of a shutdown follows from the time since the stop signal")
 {
     const ShutdownPlan plan = shutdownPlan(8'000_ms);
