Judge requests around a stop by the rule in the soak

Cause: the soak left out all requests that overlap a SIGTERM, and did not look at how the process ended. Change: a stop excuses no request. One that was passed on to a target needs an answer; any other one needs an answer, or the end of its connection within 200 ms and the scheduling slack. The process must exit with code 0 within the grace period, which the seed selects (1, 2, 3 or 5 s). Stops come in series; callers think for up to 450 ms; some send requests in pieces.

--- a/tests/node/support/nodes.cpp
+++ b/tests/node/support/nodes.cpp
@@ -121,12 +121,14 @@
 }
 
 Nodes::Nodes(StandIn &standIn, int count, const std::string &logFile,
-             const std::string &storeAddress, const std::vector<std::string> &flags)
+             const std::string &storeAddress, const std::vector<std::string> &flags,
+             Milliseconds grace)
     : m_standIn(standIn)
     , m_count(count)
     , m_logFile(logFile)
     , m_storeAddress(storeAddress.empty() ? standIn.storeAddress() : storeAddress)
     , m_flags(flags)
+    , m_grace(grace)
     , m_processes(static_cast<std::size_t>(count))
 {
     for (int i = 0; i < count; ++i) {
--- a/tests/node/support/nodes.h
+++ b/tests/node/support/nodes.h
@@ -90,7 +90,8 @@
     /// @param storeAddress Address of the store; empty: that of the stand-in.
     /// @param flags Further flags of all instances.
     Nodes(StandIn &standIn, int count, const std::string &logFile,
-          const std::string &storeAddress = {}, const std::vector<std::string> &flags = {});
+          const std::string &storeAddress = {}, const std::vector<std::string> &flags = {},
+          Milliseconds grace = Milliseconds(3'000));
 
     std::string callerAddress(int index) const;
     std::string directoryAddress(int index) const;
@@ -129,7 +130,7 @@
     std::string m_logFile;
     std::string m_storeAddress;
     std::vector<std::string> m_flags;
-    Milliseconds m_grace = Milliseconds(3'000);
+    Milliseconds m_grace;
     std::vector<Process> m_processes;
 };
 
--- a/tests/processes/support/process.cpp
+++ b/tests/processes/support/process.cpp
@@ -86,6 +86,7 @@
     int status = 0;
     ::waitpid(m_pid, &status, 0);
     m_pid = -1;
+    m_endSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
--- a/tests/processes/support/process.h
+++ b/tests/processes/support/process.h
@@ -34,11 +34,15 @@
     /// @brief Waits for the end. @return The exit code; minus one if a signal ended it.
     int wait();
 
+    /// @brief Returns the signal that ended the process that was waited for last; zero: none.
+    int endSignal() const { return m_endSignal; }
+
     /// @brief Kills and reaps it.
     void kill();
 
 private:
     pid_t m_pid = -1;
+    int m_endSignal = 0;
 };
 
 } // namespace egretmount::tests
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -38,12 +38,20 @@
 using namespace tests;
 
 constexpr int storeProxyHost = 251;
+constexpr int maxTargetDowntime = 1'500; // milliseconds from the end of a target to its restart
+constexpr int targetRestartTime = maxTargetDowntime + 500; // and until it serves
 constexpr int firstAppTarget = 59;
 // Timeout of the routes, and the time that the platform allows beyond it.
 constexpr Milliseconds routeTimeout = Milliseconds(2'000);
 constexpr Milliseconds responseSlack = Milliseconds(500);
 // Scheduling delay that a test machine with many processes may add to any response.
 constexpr Milliseconds schedulingSlack = Milliseconds(700);
+// Time in which a caller may see the end of its connection instead of an answer, if its request was
+// not passed on.
+constexpr Milliseconds lossSlack = Milliseconds(200);
+// Grace periods of the instances; the seed selects one.
+constexpr std::array<Milliseconds, 4> gracePeriods = { Milliseconds(3'000), Milliseconds(1'000),
+                                                       Milliseconds(2'000), Milliseconds(5'000) };
 // Longest time that a directory may still list a dead instance.
 constexpr Milliseconds directoryStalenessBound = Milliseconds(6'000);
 // Retry budget: a share of all requests, plus a constant number.
@@ -57,11 +65,12 @@
     HalfClosing, ///< Shuts down its sending side after the request or within the response.
     Slow, ///< Pauses between reads.
     Leaving, ///< Closes the connection before most responses have ended.
+    InPieces, ///< Keeps its connection, and sends the end of a request after a pause.
 };
 
 constexpr std::array<CallerKind, 8> callerKinds = {
     CallerKind::Plain, CallerKind::KeepAlive, CallerKind::WithoutChunks, CallerKind::HalfClosing,
-    CallerKind::Slow,  CallerKind::Leaving,   CallerKind::KeepAlive,     CallerKind::WithoutChunks,
+    CallerKind::Slow,  CallerKind::Leaving,   CallerKind::KeepAlive,     CallerKind::InPieces,
 };
 // Together half of the slack of a response in time.
 constexpr Milliseconds slowCallerPause = Milliseconds(20);
@@ -100,9 +109,15 @@
     Milliseconds thawsAt; ///< Zero: it is not frozen.
 };
 
-// Time of a fault of an instance. Requests that overlap it may end without a response.
+enum class InstanceFault {
+    Unplanned, ///< A kill or a freeze. Requests that overlap it may end without a response.
+    Stop, ///< SIGTERM and nothing else until the process has exited. It loses no request.
+};
+
+// Time of a fault of an instance.
 struct FaultWindow
 {
+    InstanceFault kind = InstanceFault::Unplanned;
     int instance = 0;
     Milliseconds from;
     Milliseconds to;
@@ -135,7 +150,8 @@
         }
         const std::string storeAddress = m_standIn.address(storeProxyHost, 8223);
         m_storeProxy = m_proxies.add(storeAddress, m_standIn.storeAddress());
-        m_nodes = std::make_unique<Nodes>(m_standIn, FLAGS_instances, FLAGS_log, storeAddress);
+        m_nodes = std::make_unique<Nodes>(m_standIn, FLAGS_instances, FLAGS_log, storeAddress,
+                                          std::vector<std::string>(), gracePeriod());
     }
 
     int run()
@@ -155,8 +171,10 @@
         m_isStopping = true;
         for (std::thread &caller : callers)
             caller.join();
-        targetFaults.join();
+        sleepMs(targetRestartTime); // requests may have killed targets until now
         checkRecovery();
+        m_isDone = true;
+        targetFaults.join();
         checkInvariants();
         for (const std::string &problem : m_violations)
             std::cout << "broken: " << problem << '\n';
@@ -169,6 +187,8 @@
 private:
     using Draw = std::function<int(int bound)>;
 
+    static Milliseconds gracePeriod() { return gracePeriods[FLAGS_seed % gracePeriods.size()]; }
+
     static std::string arrivalsFile(int target)
     {
         return FLAGS_log + ".arrivals" + std::to_string(target);
@@ -194,7 +214,7 @@
         };
         Milliseconds nextFault = monotonicNow();
         const int lastTarget = m_targets.back().number;
-        while (!m_isStopping) {
+        while (!m_isDone) {
             const Milliseconds now = monotonicNow();
             if (now >= nextFault && !m_isClearing) {
                 injectTargetFault(m_targets[static_cast<std::size_t>(below(FLAGS_targets))],
@@ -209,7 +229,8 @@
                 if (target.isGone || target.process.isRunning())
                     continue;
                 if (target.restartsAt == Milliseconds()) {
-                    target.restartsAt = now + Milliseconds(below(3) == 0 ? 0 : below(1'500));
+                    target.restartsAt =
+                        now + Milliseconds(below(3) == 0 ? 0 : below(maxTargetDowntime));
                     // One target of each service may stay away.
                     target.isGone =
                         (target.number == 1 || target.number == lastTarget) && below(4) == 0;
@@ -281,7 +302,8 @@
                 const std::lock_guard<std::mutex> lock(m_mutex);
                 m_requests.push_back(request);
             }
-            sleepMs(static_cast<int>(random() % 20));
+            // Some think for as long as a stopping instance keeps idle connections, and longer.
+            sleepMs(static_cast<int>(random() % (random() % 4 == 0 ? 450 : 20)));
         }
     }
 
@@ -300,20 +322,53 @@
             caller.setReadPause(slowCallerPause, slowCallerReads);
         const bool halfCloses = request.kind == CallerKind::HalfClosing;
         caller.setHalfClosing(halfCloses && halfClosesLater);
+        if (request.kind == CallerKind::InPieces) {
+            caller.send(text.substr(0, text.size() / 2));
+            sleepMs(static_cast<int>(patience.count() / 20)); // shorter than the limit for a head
+            text.erase(0, text.size() / 2);
+            request.sentAt = monotonicNow();
+        }
         caller.send(text);
         if (halfCloses && !halfClosesLater)
             caller.shutdownSend();
         request.response = caller.receive("POST", patience);
         connections.erase(request.instance);
-        if (request.kind == CallerKind::KeepAlive && request.response.isComplete)
+        const bool keepsConnection =
+            request.kind == CallerKind::KeepAlive || request.kind == CallerKind::InPieces;
+        if (keepsConnection && request.response.isComplete
+            && request.response.field("Connection") != "close")
             connections.insert(
                 { request.instance, { caller, request.connectedAt, monotonicNow() } });
     }
 
-    void recordFaultWindow(int instance, Milliseconds from)
+    void recordFaultWindow(int instance, Milliseconds from,
+                           InstanceFault kind = InstanceFault::Unplanned)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        m_faultWindows.push_back({ instance, from, monotonicNow() });
+        m_faultWindows.push_back({ kind, instance, from, monotonicNow() });
+    }
+
+    // Stops an instance as the platform does, and starts it again.
+    void stopInstance(int instance, const Draw &draw)
+    {
+        Process &process = m_nodes->process(instance);
+        const Milliseconds from = monotonicNow();
+        process.signal(SIGTERM);
+        sleepMs(draw(400));
+        process.signal(SIGTERM); // a second signal must have no effect
+        const int code = process.wait();
+        // A process that has just been started has no handler of the signal yet, and no requests.
+        const bool hasExited = code == 0 || process.endSignal() == SIGTERM;
+        const Milliseconds time = monotonicNow() - from;
+        const int endSignal = process.endSignal();
+        m_nodes->start(instance);
+        recordFaultWindow(instance, from, InstanceFault::Stop);
+        if (hasExited && time <= gracePeriod() + schedulingSlack)
+            return;
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_violations.push_back("instance " + std::to_string(instance) + " stopped with code "
+                               + std::to_string(code) + ", signal " + std::to_string(endSignal)
+                               + ", after " + std::to_string(time.count()) + " ms");
     }
 
     static void sleepMs(int milliseconds)
@@ -400,12 +455,12 @@
                 process.signal(SIGCONT);
                 break;
             case 2:
-                process.signal(SIGTERM);
-                sleepMs(draw(400));
-                process.signal(SIGTERM); // a second signal must have no effect
-                process.wait();
-                m_nodes->start(instance);
-                break;
+                stopInstance(instance, draw);
+                while (draw(2) == 0) { // again, soon after its start
+                    sleepMs(draw(1'000));
+                    stopInstance(instance, draw);
+                }
+                return;
             case 3:
                 process.signal(SIGTERM);
                 sleepMs(draw(400));
@@ -540,15 +595,30 @@
     }
 
     // Whether a fault of the instance overlaps a request, or the time since `from`.
-    bool overlapsFault(const RequestRecord &request, Milliseconds from) const
+    bool overlapsFault(const RequestRecord &request, Milliseconds from, InstanceFault kind) const
     {
         return std::any_of(
             m_faultWindows.begin(), m_faultWindows.end(), [&](const FaultWindow &window) {
-                return window.instance == request.instance && window.from <= request.endedAt
-                       && from <= window.to + Milliseconds(1'000);
+                return window.kind == kind && window.instance == request.instance
+                       && window.from <= request.endedAt && from <= window.to + Milliseconds(1'000);
             });
     }
 
+    // Whether a request that got no answer was lost. In a planned stop, a request may cross the
+    // close of its connection if it is not passed on.
+    bool isLost(const RequestRecord &request, int reached) const
+    {
+        // An instance takes the end of a caller's sending side for its leaving.
+        if (request.kind == CallerKind::Leaving || request.kind == CallerKind::HalfClosing
+            || overlapsFault(request, request.connectedAt, InstanceFault::Unplanned))
+            return false;
+        if (!overlapsFault(request, request.connectedAt, InstanceFault::Stop))
+            return true;
+        const bool wasSent = request.connectedAt > Milliseconds();
+        return wasSent
+               && (reached > 0 || request.endedAt - request.sentAt > lossSlack + schedulingSlack);
+    }
+
     void checkInvariants()
     {
         std::map<std::string, int> ran;
@@ -576,10 +646,10 @@
         if (static_cast<double>(retries) > budgetRatio * static_cast<double>(sent) + budgetSlack)
             m_violations.push_back("repeats beyond the budget: " + std::to_string(retries));
         for (const RequestRecord &request : m_requests)
-            checkRequest(request, ran[request.id]);
+            checkRequest(request, ran[request.id], reached[request.id]);
     }
 
-    void checkRequest(const RequestRecord &request, int ran)
+    void checkRequest(const RequestRecord &request, int ran, int reached)
     {
         const Response &response = request.response;
         const std::string name = request.id + " (" + request.route + ", caller kind "
@@ -607,12 +677,12 @@
                                                             : "a wrong part of an answer: ")
                                        + name + ": " + problem);
         }
-        // An instance takes the end of a caller's sending side for its leaving.
-        if (response.status == 0 && !overlapsFault(request, request.connectedAt)
-            && request.kind != CallerKind::Leaving && request.kind != CallerKind::HalfClosing)
-            m_violations.push_back("no answer without a fault: " + name);
         const Milliseconds elapsed = request.endedAt - request.sentAt;
-        if (!overlapsFault(request, request.sentAt)
+        if (response.status == 0 && isLost(request, reached))
+            m_violations.push_back("no answer without an unplanned fault: " + name + " after "
+                                   + std::to_string(elapsed.count()) + " ms, sent to "
+                                   + std::to_string(reached) + " targets");
+        if (!overlapsFault(request, request.sentAt, InstanceFault::Unplanned)
             && elapsed > routeTimeout + responseSlack + schedulingSlack)
             m_violations.push_back("no final answer in time: " + name + " after "
                                    + std::to_string(elapsed.count()) + " ms");
@@ -627,7 +697,8 @@
     std::vector<int> m_targetProxies; // theirs, in the same order
     int m_storeProxy = 0;
     int m_version = 1;
-    std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isStopping = false; // of the callers
+    std::atomic<bool> m_isDone = false;
     std::atomic<int> m_faultCount = 0;
     std::atomic<bool> m_isClearing = false;
     std::shared_mutex m_instanceFaults; // exclusive while no instance may be harmed
