Run the deferred tasks before the services are destroyed

Cause: a task of the loop's last round held a probe of ReachService; it was destroyed with the reactor, after the service. The kernel's log gave Reactor::cancel, called from ~Probe. Change: main runs the deferred tasks after the services are stopped and before they are destroyed; the probe refers to the reactor itself.

--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -81,6 +81,7 @@
     reactor.every(logFlushInterval, [&sink] { sink.flush(); });
     reactor.run();
     registry.stopAll();
+    reactor.runDeferred();
     LOG(INFO) << "node: stopped instance=" << settings.name;
     sink.flush();
     return EXIT_SUCCESS;
--- a/apps/node/reach_service.cpp
+++ b/apps/node/reach_service.cpp
@@ -25,6 +25,7 @@
 public:
     Probe(ReachService &owner, fleet::TargetEntry target)
         : m_owner(owner)
+        , m_reactor(owner.m_reactor)
         , m_target(std::move(target))
         , m_stream(net::TcpStream::connect(owner.m_reactor, m_target.address, this))
         , m_timer(owner.m_reactor.after(probeTimeout, [this] { end(false); }))
@@ -32,7 +33,7 @@
 
     ~Probe() override
     {
-        m_owner.m_reactor.cancel(m_timer);
+        m_reactor.cancel(m_timer);
         m_stream->close();
     }
 
@@ -51,6 +52,8 @@
     }
 
     ReachService &m_owner;
+    net::Reactor
+        &m_reactor; ///< Used by the destructor, which may run later than that of the owner.
     fleet::TargetEntry m_target;
     std::shared_ptr<net::TcpStream> m_stream;
     net::TimerId m_timer = 0;
--- a/src/daemon/net/reactor.h
+++ b/src/daemon/net/reactor.h
@@ -70,6 +70,10 @@
     /// @brief Runs until `stop` is called. The remaining socket callbacks of the current round
     ///        still run, but timers that are due do not.
     void run();
+
+    /// @brief Runs the deferred tasks, also those that they defer. After `run` has returned, this
+    ///        releases what the tasks hold while the objects that they use still exist.
+    void runDeferred();
     void stop() { m_isStopped = true; }
 
     /// @brief Returns the time at which the current round of callbacks began.
@@ -86,7 +90,6 @@
         }
     };
 
-    void runDeferred();
     void runTimers();
     Milliseconds timeToNextTimer() const;
 
--- a/tests/platform/reactor_test.cpp
+++ b/tests/platform/reactor_test.cpp
@@ -53,6 +53,25 @@
     CHECK(weakStream.expired());
 }
 
+// Guards against an object that is held by a deferred task and destroyed after the service that it
+// uses, when the loop stops in the round that defers it.
+TEST_CASE("tasks that are deferred in the last round can be run after the loop")
+{
+    net::Reactor reactor;
+    std::string order;
+    reactor.after(1_ms, [&] {
+        reactor.stop();
+        reactor.defer([&] {
+            order += 'a';
+            reactor.defer([&order] { order += 'b'; });
+        });
+    });
+    reactor.run();
+    CHECK(order.empty());
+    reactor.runDeferred();
+    CHECK(order == "ab");
+}
+
 // Guards against an exception that ends the process when the local ports are used up, or no route
 // leads to a target, and the request is cancelled at the same moment.
 TEST_CASE("a connection that fails at once can be paused and closed before that is reported")
