--- a/apps/node/reach_service.cpp
+++ b/apps/node/reach_service.cpp
@@ -52,8 +52,7 @@
     }
 
     ReachService &m_owner;
-    net::Reactor
-        &m_reactor; ///< Used by the destructor, which may run later than that of the owner.
+    net::Reactor &m_reactor; ///< Outlives the owner, and so may this probe.
     fleet::TargetEntry m_target;
     std::shared_ptr<net::TcpStream> m_stream;
     net::TimerId m_timer = 0;
--- a/apps/node/shutdown_service.cpp
+++ b/apps/node/shutdown_service.cpp
@@ -123,7 +123,7 @@
     }
     drain(stage);
     if (instance::mayExit(stage, obligations()))
-        exit(elapsed);
+        finishShutdown(elapsed);
 }
 
 void ShutdownService::drain(ShutdownStage stage)
@@ -144,7 +144,7 @@
         m_ingress->endAll();
 }
 
-void ShutdownService::exit(Milliseconds elapsed)
+void ShutdownService::finishShutdown(Milliseconds elapsed)
 {
     const instance::Obligations owed = obligations();
     LOG(INFO) << "shutdown: stopping after_ms=" << elapsed.count() << " requests=" << owed.requests
--- a/apps/node/shutdown_service.h
+++ b/apps/node/shutdown_service.h
@@ -45,7 +45,10 @@
     /// @brief Closes what is no longer needed at a stage of the shutdown.
     void drain(instance::ShutdownStage stage);
     instance::Obligations obligations() const;
-    void exit(Milliseconds elapsed);
+
+    /// @brief Answers the last requests for the directory, and stops the loop.
+    /// @param elapsed Time since the stop signal.
+    void finishShutdown(Milliseconds elapsed);
 
     /// @brief Returns the servers that accept requests from callers and for them.
     std::array<net::HttpServer *, 2> requestServers() const;
