Leave room for the delay of a stopping process in short grace periods

Cause: the signal is seen up to 50 ms late and each stage began up to 50 ms late, but only 60 ms were kept for the exit. Change: at least 160 ms for the exit and 250 ms for the last responses; a shutdown is looked after every 20 ms. Nothing changes at 8 s but the latter. The case of the last sixth in instance_shutdown_plan_test begins at 1.5 s: below, the sixth is shorter than the time that the last responses need.

--- a/apps/node/shutdown_service.cpp
+++ b/apps/node/shutdown_service.cpp
@@ -26,6 +26,7 @@
 std::atomic<bool> reloadRequested = false;
 
 constexpr Milliseconds checkInterval = Milliseconds(50);
+constexpr Milliseconds shutdownCheckInterval = Milliseconds(20); // a late exit would be a kill
 // Changes of the settings file are also detected without SIGHUP.
 constexpr Milliseconds settingsCheckInterval = Milliseconds(1'000);
 // Time for the next request on a connection whose last response did not announce its end.
@@ -80,10 +81,8 @@
 
 void ShutdownService::onTick()
 {
-    if (m_isShuttingDown) {
-        continueShutdown();
+    if (m_isShuttingDown)
         return;
-    }
     if (stopRequested) {
         beginShutdown();
         return;
@@ -107,6 +106,7 @@
     // They have not run, and other instances can place them while this one drains.
     m_placement->stopDeferring();
     m_ingress->retryDeferred();
+    m_reactor.every(shutdownCheckInterval, [this] { continueShutdown(); });
 }
 
 void ShutdownService::continueShutdown()
--- a/src/instance/shutdown_plan.cpp
+++ b/src/instance/shutdown_plan.cpp
@@ -14,11 +14,12 @@
 // end of a request at the end of the grace period only if it was sent within three seconds.
 constexpr Milliseconds maxServing = Milliseconds(2'800);
 constexpr double servingShare = 0.35;
-// Time kept for the last responses and the exit; the least values are for short grace periods.
+// Time kept for the last responses and the exit. The least values leave room for the delay with
+// which the process sees the stop signal and the beginning of a stage.
 constexpr double abortingShare = 0.06;
-constexpr Milliseconds minAborting = Milliseconds(120);
+constexpr Milliseconds minAborting = Milliseconds(250);
 constexpr double exitingShare = 0.02;
-constexpr Milliseconds minExiting = Milliseconds(60);
+constexpr Milliseconds minExiting = Milliseconds(160);
 
 Milliseconds shareOf(Milliseconds time, double share)
 {
