Limit the memory that request bodies take

What callers saw: connections that ended without an answer in bursts of large requests. Cause: nothing limited the sum of the bodies in hand, and each body was in memory up to six times on its way to a target. All sends of a request share one copy of its body. Large blocks go back to the system when freed. The directory and the metrics take 64 KiB. Why it works: memory is reserved before a body is read and released with it, so the sum cannot pass the limit; nothing was sent, so "not executed" is true.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -65,8 +65,9 @@
     : m_services(services)
     , m_connection(std::move(connection))
     , m_requestHead(std::move(head))
-    , m_body(std::move(body.bytes))
+    , m_body(std::make_shared<const std::string>(std::move(body.bytes)))
     , m_bodyDigest(body.digest)
+    , m_bodyReservation(std::move(body.reservation))
     , m_source(source)
     , m_caller(platform::readCallerFields(m_requestHead))
     , m_arrivedAt(services.reactor.now())
@@ -347,10 +348,10 @@
     m_sentAt = m_lastEventAt = m_services.reactor.now();
     const std::string head =
         placement.isRelay ? platform::relayedHead(
-            m_requestHead, { fields.timeLeft, fields.resumeAfter }, m_body.size())
-                          : platform::forwardedHead(m_requestHead, fields, m_body.size());
-    m_send.start(placement.target, placement.isRelay ? Receiver::Instance : Receiver::Target,
-                 head + m_body, m_requestHead.method, m_caller.requestId, needsNewConnection);
+            m_requestHead, { fields.timeLeft, fields.resumeAfter }, m_body->size())
+                          : platform::forwardedHead(m_requestHead, fields, m_body->size());
+    m_send.start(placement.target, placement.isRelay ? Receiver::Instance : Receiver::Target, head,
+                 m_body, m_requestHead.method, m_caller.requestId, needsNewConnection);
     scheduleStallCheck();
 }
 
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -180,8 +180,9 @@
     ExchangeServices m_services;
     std::shared_ptr<net::ServerConnection> m_connection;
     http::RequestHead m_requestHead;
-    std::string m_body;
+    std::shared_ptr<const std::string> m_body;
     Digest m_bodyDigest;
+    limits::BodyReservation m_bodyReservation;
     RequestSource m_source;
     platform::CallerFields m_caller;
     std::shared_ptr<const fleet::Configuration> m_configuration;
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -4,6 +4,9 @@
 
 #include <glog/logging.h>
 
+#include <egretmount/core/hash.h>
+#include <egretmount/limits/target_notices.h>
+
 #include "crash_guard.h"
 #include "fleet_service.h"
 #include "metrics_service.h"
@@ -22,6 +25,20 @@
 // same targets. Other instances learn of a placement about 5 ms later, so the placements of
 // different instances should be a few milliseconds apart for each target.
 constexpr Milliseconds maxResumeDelay = Milliseconds(200);
+// Retry-After of a request whose body takes too much memory: others end within this time.
+constexpr Milliseconds memoryRetryAfter = Milliseconds(500);
+
+// Fields of a response which states that the request was not executed.
+std::string refusalFields(const http::RequestHead &head, Milliseconds retryAfter,
+                          RequestSource source)
+{
+    std::string fields;
+    platform::appendRequestId(fields, platform::readCallerFields(head).requestId);
+    platform::appendRetryAfter(fields, retryAfter);
+    if (source == RequestSource::Instance)
+        platform::appendNotExecuted(fields);
+    return fields;
+}
 
 } // namespace
 
@@ -43,6 +60,8 @@
     m_crashes = &m_registry.find<CrashGuard>();
     m_reach = &m_registry.find<ReachService>();
     m_relay = &m_registry.find<RelayService>();
+    m_bodyMemory = std::make_shared<limits::BodyMemory>(
+        limits::bodyMemory(m_fleet->settings().capacity.memoryMb));
     addGauges();
     m_fleet->onConfigured([this] { resumeAfterConfiguration(); });
     m_placement->onLongPrefill(
@@ -56,6 +75,8 @@
 {
     m_metrics->addGauge("requests_in_hand",
                         [this] { return static_cast<double>(m_exchanges.size()); });
+    m_metrics->addGauge("request_body_bytes",
+                        [this] { return static_cast<double>(m_bodyMemory->used); });
     m_metrics->addGauge("living_instances",
                         [this] { return static_cast<double>(m_peers->livingCount()); });
     m_metrics->addGauge("configuration_version", [this] {
@@ -126,12 +147,8 @@
                             http::RequestHead head, net::RequestBody body, RequestSource source)
 {
     if (m_refusesNew) {
-        std::string fields;
-        platform::appendRequestId(fields, platform::readCallerFields(head).requestId);
-        platform::appendRetryAfter(fields, stoppingRetryAfter);
-        if (source == RequestSource::Instance)
-            platform::appendNotExecuted(fields);
-        connection->respond(503, http::reasonPhrase(503), fields, {});
+        connection->respond(503, http::reasonPhrase(503),
+                            refusalFields(head, stoppingRetryAfter, source), {});
         LOG(INFO) << "ingress: refused status=503 reason=\"stopping\"";
         return;
     }
@@ -144,6 +161,13 @@
     exchange->start(randomValue);
 }
 
+std::string IngressService::outOfMemoryFields(const http::RequestHead &head, RequestSource source)
+{
+    m_metrics->countRefusal("no-memory");
+    const std::string id = platform::readCallerFields(head).requestId;
+    return refusalFields(head, limits::spreadReturn(memoryRetryAfter, stableHash(id)), source);
+}
+
 void IngressService::resumeAfterConfiguration()
 {
     std::uniform_int_distribution<std::int64_t> delays(0, maxResumeDelay.count());
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -41,6 +41,12 @@
     /// @brief Ends the exchanges while the services that they use still exist.
     void stop() override { endAll(); }
 
+    std::shared_ptr<limits::BodyMemory> bodyMemory() const override { return m_bodyMemory; }
+
+    /// @brief Returns the header fields of the response to a request that is refused because its
+    ///        body takes too much memory.
+    std::string outOfMemoryFields(const http::RequestHead &head, RequestSource source);
+
     /// @brief Begins to handle a complete request.
     void accept(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                 net::RequestBody body, RequestSource source);
@@ -81,6 +87,10 @@
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                    net::RequestBody body) override;
     fleet::CallerLimits limits() const override;
+    std::string outOfMemoryFields(const http::RequestHead &head) override
+    {
+        return outOfMemoryFields(head, RequestSource::Caller);
+    }
 
     void addGauges();
 
@@ -104,6 +114,7 @@
     CrashGuard *m_crashes = nullptr;
     ReachService *m_reach = nullptr;
     RelayService *m_relay = nullptr;
+    std::shared_ptr<limits::BodyMemory> m_bodyMemory;
     std::unique_ptr<net::HttpServer> m_server;
     std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<std::string, limits::RetryBudget> m_budgets; ///< Keyed by service id.
--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -3,6 +3,8 @@
 #include <iostream>
 #include <memory>
 
+#include <malloc.h>
+
 #include <gflags/gflags.h>
 
 #include "crash_guard.h"
@@ -37,6 +39,9 @@
 namespace {
 
 constexpr Milliseconds logFlushInterval = Milliseconds(50);
+// Freed blocks of at least this size are returned to the system at once. The heap would keep some
+// of them, as long as later blocks are in use.
+constexpr int mappedBlockBytes = 256 * 1024;
 
 void startLogging(const char *program, LogSink &sink)
 {
@@ -97,6 +102,7 @@
     gflags::SetUsageMessage("runs one instance of egretmount on the platform");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     node::ShutdownService::installSignalHandlers();
+    mallopt(M_MMAP_THRESHOLD, node::mappedBlockBytes);
     node::LogSink sink;
     node::startLogging(argv[0], sink);
     const std::string path = FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings;
--- a/apps/node/relay_service.cpp
+++ b/apps/node/relay_service.cpp
@@ -109,6 +109,16 @@
     return m_ingress->isStopping();
 }
 
+std::shared_ptr<limits::BodyMemory> RelayService::bodyMemory() const
+{
+    return m_ingress->bodyMemory();
+}
+
+std::string RelayService::outOfMemoryFields(const http::RequestHead &head)
+{
+    return m_ingress->outOfMemoryFields(head, RequestSource::Instance);
+}
+
 fleet::CallerLimits RelayService::limits() const
 {
     fleet::CallerLimits limits =
--- a/apps/node/relay_service.h
+++ b/apps/node/relay_service.h
@@ -59,6 +59,8 @@
     void onRequest(const std::shared_ptr<net::ServerConnection> &connection, http::RequestHead head,
                    net::RequestBody body) override;
     fleet::CallerLimits limits() const override;
+    std::shared_ptr<limits::BodyMemory> bodyMemory() const override;
+    std::string outOfMemoryFields(const http::RequestHead &head) override;
     bool isStopping() const override;
 
     net::Reactor &m_reactor;
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -41,12 +41,14 @@
     cancel();
 }
 
-void TargetSend::start(const fleet::TargetEntry &target, Receiver receiver, std::string request,
-                       std::string method, std::string requestId, bool needsNewConnection)
+void TargetSend::start(const fleet::TargetEntry &target, Receiver receiver, std::string head,
+                       std::shared_ptr<const std::string> body, std::string method,
+                       std::string requestId, bool needsNewConnection)
 {
     m_isRelay = receiver == Receiver::Instance;
     m_target = target;
-    m_request = std::move(request);
+    m_requestHead = std::move(head);
+    m_requestBody = std::move(body);
     m_method = std::move(method);
     m_requestId = std::move(requestId);
     // The registry's entry may be older than a restart that the target has reported.
@@ -112,7 +114,9 @@
     m_isSent = true;
     if (!m_isRelay)
         m_pool.reach().onRequestSent();
-    m_connection.stream->write(m_request);
+    m_connection.stream->write(m_requestHead);
+    if (!m_requestBody->empty())
+        m_connection.stream->writeShared(m_requestBody);
     m_listener.onRequestSent();
 }
 
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -67,9 +67,11 @@
 
     /// @brief Connects to the target and sends the request.
     /// @param target For `Receiver::Instance`, the address of an instance and an id for it.
-    /// @param request The complete request, head and body.
-    void start(const fleet::TargetEntry &target, Receiver receiver, std::string request,
-               std::string method, std::string requestId, bool needsNewConnection);
+    /// @param head Of the request, with the empty line at its end.
+    /// @param body Not copied: all sends of a request share it.
+    void start(const fleet::TargetEntry &target, Receiver receiver, std::string head,
+               std::shared_ptr<const std::string> body, std::string method, std::string requestId,
+               bool needsNewConnection);
 
     /// @brief Closes the connection, by which the target notices the cancellation. The listener is
     ///        not called again.
@@ -131,7 +133,8 @@
     SendListener &m_listener;
     fleet::TargetEntry m_target;
     TargetConnection m_connection;
-    std::string m_request;
+    std::string m_requestHead;
+    std::shared_ptr<const std::string> m_requestBody;
     std::string m_method;
     std::string m_requestId;
     net::TimerId m_connectTimer = 0;
--- a/src/daemon/net/server_connection.cpp
+++ b/src/daemon/net/server_connection.cpp
@@ -13,9 +13,17 @@
 constexpr Milliseconds idleTimeoutMargin = Milliseconds(500);
 // Limit of buffered input (pipelined requests) while the response to a request is pending.
 constexpr std::size_t maxPipelinedBytes = 64UL * 1024;
+constexpr std::size_t maxIgnoredBodyBytes = 64UL * 1024;
 
 } // namespace
 
+fleet::CallerLimits RequestHandler::limits() const
+{
+    fleet::CallerLimits limits;
+    limits.bodyBytes = maxIgnoredBodyBytes;
+    return limits;
+}
+
 void RequestHandler::onRefused(int status, std::string_view reason)
 {
     LOG(INFO) << "ingress: refused status=" << status << " reason=\"" << reason << '"';
@@ -113,6 +121,12 @@
     m_reader = http::makeBodyReader(*framing);
     m_body.clear();
     m_bodyDigest = {};
+    m_reservation = limits::BodyReservation(m_handler.bodyMemory());
+    if (framing->framing == http::Framing::Length) {
+        if (!reserveMemory(framing->length))
+            return false;
+        m_body.reserve(framing->length);
+    }
     m_phase = Phase::Body;
     setTimer(bodyTimeout, 408);
     if (m_reader.state == http::BodyState::Reading
@@ -134,23 +148,35 @@
         refuse(400, "malformed-body");
         return false;
     }
+    if (!reserveMemory(m_body.size()))
+        return false;
     if (state == http::BodyState::Reading)
         return false;
     m_phase = Phase::Responding;
     m_reactor.cancel(m_timer);
     m_handler.onRequest(shared_from_this(), std::move(m_head),
-                        { std::move(m_body), m_bodyDigest.finish() });
+                        { std::move(m_body), m_bodyDigest.finish(), std::move(m_reservation) });
     return true;
 }
 
-void ServerConnection::refuse(int status, std::string_view reason)
+bool ServerConnection::reserveMemory(std::size_t bytes)
+{
+    if (m_reservation.cover(bytes))
+        return true;
+    refuse(503, "no-memory", m_handler.outOfMemoryFields(m_head));
+    return false;
+}
+
+void ServerConnection::refuse(int status, std::string_view reason, std::string_view fields)
 {
     m_handler.onRefused(status, reason);
+    std::string().swap(m_body); // `clear` would keep the memory
+    m_reservation = {};
     m_phase = Phase::Responding;
     // The rest of the request stays unread, so no further request can be read after it.
     m_isRefused = true;
     m_keepsAlive = false;
-    respond(status, http::reasonPhrase(status), {}, {});
+    respond(status, http::reasonPhrase(status), fields, {});
 }
 
 void ServerConnection::setTimer(Milliseconds delay, int status)
--- a/src/daemon/net/server_connection.h
+++ b/src/daemon/net/server_connection.h
@@ -9,6 +9,7 @@
 #include <egretmount/fleet/configuration.h>
 #include <egretmount/http/body.h>
 #include <egretmount/http/head.h>
+#include <egretmount/limits/body_memory.h>
 
 #include "net/reactor.h"
 #include "net/tcp_stream.h"
@@ -22,6 +23,7 @@
 {
     std::string bytes;
     Digest digest {}; ///< SHA-256 of the bytes.
+    limits::BodyReservation reservation {}; ///< Of the memory that the bytes take.
 };
 
 /// @brief Handles the requests of all connections that one listening address accepts.
@@ -38,8 +40,16 @@
     virtual void onRequest(const std::shared_ptr<ServerConnection> &connection,
                            http::RequestHead head, RequestBody body) = 0;
 
-    /// @brief Returns the current size and time limits for requests.
-    virtual fleet::CallerLimits limits() const { return {}; }
+    /// @brief Returns the current size and time limits for requests. The default is for handlers
+    ///        that ignore bodies.
+    virtual fleet::CallerLimits limits() const;
+
+    /// @brief Returns the memory that the bodies of requests may take; null: it is not limited.
+    virtual std::shared_ptr<limits::BodyMemory> bodyMemory() const { return nullptr; }
+
+    /// @brief Returns the header fields of the response to a request that is refused with status
+    ///        503 because its body takes too much memory.
+    virtual std::string outOfMemoryFields(const http::RequestHead &) { return {}; }
 
     /// @brief Returns true during shutdown: connections are then closed after the current response
     ///        and those to pipelined requests.
@@ -124,7 +134,11 @@
     void read();
     bool readHead();
     bool readBody();
-    void refuse(int status, std::string_view reason);
+    void refuse(int status, std::string_view reason, std::string_view fields = {});
+
+    /// @brief Reserves memory for the body. Refuses the request and returns false if there is too
+    ///        little.
+    bool reserveMemory(std::size_t bytes);
     void finishResponse();
 
     /// @brief Decides whether the connection is closed after the response that begins.
@@ -145,6 +159,7 @@
     http::BodyReader m_reader;
     std::string m_body;
     DigestStream m_bodyDigest;
+    limits::BodyReservation m_reservation;
     TimerId m_timer = 0;
     Milliseconds m_idleSince;
     bool m_keepsAlive = true;
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <limits>
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -130,14 +131,38 @@
 {
     if (!m_isOpen || m_isClosing)
         return;
+    if (m_shared) { // the new bytes must follow it
+        m_output.append(*m_shared, m_sharedSent, std::string::npos);
+        m_shared.reset();
+    }
     m_output.append(bytes);
-    m_written += bytes.size();
+    recordOutput(bytes.size());
+    if (m_isConnected)
+        flush();
+}
+
+void TcpStream::writeShared(std::shared_ptr<const std::string> bytes)
+{
+    if (!m_isOpen || m_isClosing)
+        return;
+    if (m_shared) {
+        write(*bytes);
+        return;
+    }
+    recordOutput(bytes->size());
+    m_shared = std::move(bytes);
+    m_sharedSent = 0;
+    if (m_isConnected)
+        flush();
+}
+
+void TcpStream::recordOutput(std::size_t bytes)
+{
+    m_written += bytes;
     if (m_isAccepted && m_deliveryTimer == 0) {
         m_deliveredAt = m_reactor.now();
         startDeliveryTimer();
     }
-    if (m_isConnected)
-        flush();
 }
 
 std::size_t TcpStream::undelivered() const
@@ -339,30 +364,38 @@
     }
 }
 
+std::size_t TcpStream::sendBytes(std::string_view bytes)
+{
+    constexpr std::size_t maxBytes = std::numeric_limits<int>::max(); // of one call
+    try {
+        const int size = static_cast<int>(std::min(bytes.size(), maxBytes));
+        const int count = m_socket.sendBytes(bytes.data(), size, MSG_NOSIGNAL);
+        return static_cast<std::size_t>(std::max(count, 0));
+    } catch (const Poco::Exception &error) {
+        // POCO reports a full kernel buffer as an exception.
+        if (error.code() != EAGAIN && error.code() != EWOULDBLOCK)
+            finish(StreamEnd::Reset);
+        return 0;
+    }
+}
+
 void TcpStream::flush()
 {
     while (m_isOpen && unsent() > 0) {
-        int count = 0;
-        try {
-            count = m_socket.sendBytes(m_output.data() + m_sent, static_cast<int>(unsent()),
-                                       MSG_NOSIGNAL);
-        } catch (const Poco::Exception &error) {
-            // POCO reports a full kernel buffer as an exception.
-            if (error.code() != EAGAIN && error.code() != EWOULDBLOCK) {
-                finish(StreamEnd::Reset);
-                return;
-            }
-            count = -1;
-        }
-        if (count <= 0)
+        const bool isShared = m_sent == m_output.size();
+        const std::size_t count = isShared
+                                      ? sendBytes(std::string_view(*m_shared).substr(m_sharedSent))
+                                      : sendBytes(std::string_view(m_output).substr(m_sent));
+        if (count == 0)
             break;
-        m_sent += static_cast<std::size_t>(count);
+        (isShared ? m_sharedSent : m_sent) += count;
     }
     if (!m_isOpen)
         return;
     if (unsent() == 0) {
         m_output.clear();
         m_sent = 0;
+        m_shared.reset();
         if (m_isClosing) {
             setLinger(false);
             try {
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -65,8 +65,11 @@
     ///        after the end of the stream.
     void write(std::string_view bytes);
 
+    /// @brief As `write`, but buffers a reference to the bytes instead of a copy.
+    void writeShared(std::shared_ptr<const std::string> bytes);
+
     /// @brief Returns the number of written bytes that the kernel has not accepted yet.
-    std::size_t unsent() const { return m_output.size() - m_sent; }
+    std::size_t unsent() const { return m_output.size() - m_sent + unsentShared(); }
 
     /// @brief Returns the number of written bytes that the peer has not acknowledged yet; the end
     /// of
@@ -118,7 +121,15 @@
     void onReady(bool isReadable, bool isWritable, bool hasFailed) override;
 
 private:
+    std::size_t unsentShared() const { return m_shared ? m_shared->size() - m_sharedSent : 0; }
+
+    /// @brief Passes bytes to the kernel. Returns how many it has accepted; zero also if the stream
+    ///        has ended.
+    std::size_t sendBytes(std::string_view bytes);
     void setLinger(bool isEnabled);
+
+    /// @brief Counts output that is about to be buffered, and watches its delivery.
+    void recordOutput(std::size_t bytes);
     void startDeliveryTimer();
 
     /// @brief Ends the stream if its peer acknowledges nothing, or has received everything of a
@@ -139,7 +150,9 @@
     StreamListener *m_listener;
     std::string m_input;
     std::string m_output;
-    std::size_t m_sent = 0;
+    std::size_t m_sent = 0; ///< Of `m_output`.
+    std::shared_ptr<const std::string> m_shared; ///< Output that follows `m_output`.
+    std::size_t m_sharedSent = 0;
     TimerId m_deliveryTimer = 0; ///< Runs while output is on its way, and while closing.
     std::size_t m_written = 0; ///< Total of all output.
     std::size_t m_delivered = 0; ///< Part of it that the peer had acknowledged at the last check.
--- a/tests/node/endless_response_test.cpp
+++ b/tests/node/endless_response_test.cpp
@@ -1,7 +1,6 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <fstream>
 #include <list>
 #include <memory>
 #include <string>
@@ -123,15 +122,6 @@
     std::thread m_thread;
 };
 
-long residentMb(pid_t process)
-{
-    std::ifstream statm("/proc/" + std::to_string(process) + "/statm");
-    long total = 0;
-    long resident = 0;
-    statm >> total >> resident;
-    return resident * sysconf(_SC_PAGESIZE) / (1'024L * 1'024);
-}
-
 /// @brief A caller that sends a request and reads, and discards, or reads nothing.
 class DiscardingCaller
 {
@@ -243,7 +233,7 @@
             return script;
         });
         usleep(300'000);
-        memoryBefore = residentMb(cluster.nodes.process(0).id());
+        memoryBefore = cluster.nodes.process(0).residentMb();
     }
 
     std::list<DiscardingCaller> callers;
@@ -270,7 +260,7 @@
                 0, endless.isStream ? plainRequest("read", id) : streamRequest(id));
             CHECK(response.status == 200);
             CHECK(response.elapsed < 500_ms);
-            most = std::max(most, residentMb(cluster.nodes.process(0).id()) - memoryBefore);
+            most = std::max(most, cluster.nodes.process(0).residentMb() - memoryBefore);
         }
         return most;
     }
--- a/tests/node/support/nodes.cpp
+++ b/tests/node/support/nodes.cpp
@@ -188,8 +188,9 @@
          << "\",\"zone\":\"z1\",\"region\":\"r\",\"listenAddrs\":{\"front\":\""
          << callerAddress(index) << "\",\"ready\":\"" << readinessAddress(index)
          << "\",\"control\":\"" << host(index) << ":8229\",\"directory\":\""
-         << directoryAddress(index) << "\"},\"portRange\":[7340,7355],\"seeds\":[" << seeds
-         << "],\"contractParams\":{\"graceS\":" << static_cast<double>(m_grace.count()) / 1'000
+         << directoryAddress(index) << "\"},\"portRange\":[7340,7355],\"seeds\":[" << seeds << "],"
+         << (m_memoryMb > 0 ? "\"limits\":{\"memoryMb\":" + std::to_string(m_memoryMb) + "}," : "")
+         << "\"contractParams\":{\"graceS\":" << static_cast<double>(m_grace.count()) / 1'000
          << ",\"budgetSlack\":104},\"platform\":{\"address\":\"" << m_storeAddress << "\"}}";
     file.close();
     std::vector<std::string> flags = m_flags;
--- a/tests/node/support/nodes.h
+++ b/tests/node/support/nodes.h
@@ -106,6 +106,11 @@
     /// @brief Sets the grace period of the instances that are started from now on.
     void setGrace(Milliseconds grace) { m_grace = grace; }
 
+    /// @brief Sets the memory in MB of the instances that are started from now on, as their
+    /// settings
+    ///        state it. Zero: they do not.
+    void setMemory(int memoryMb) { m_memoryMb = memoryMb; }
+
     /// @brief Starts or restarts an instance.
     void start(int index);
 
@@ -131,6 +136,7 @@
     std::string m_storeAddress;
     std::vector<std::string> m_flags;
     Milliseconds m_grace;
+    int m_memoryMb = 0;
     std::vector<Process> m_processes;
 };
 
--- a/tests/processes/support/process.cpp
+++ b/tests/processes/support/process.cpp
@@ -1,6 +1,7 @@
 #include "support/process.h"
 
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
 #include <utility>
 
@@ -63,6 +64,15 @@
     return *this;
 }
 
+long Process::residentMb() const
+{
+    std::ifstream statm("/proc/" + std::to_string(m_pid) + "/statm");
+    long total = 0;
+    long resident = 0;
+    statm >> total >> resident;
+    return resident * sysconf(_SC_PAGESIZE) / (1'024L * 1'024);
+}
+
 bool Process::isRunning()
 {
     if (m_pid < 0)
--- a/tests/processes/support/process.h
+++ b/tests/processes/support/process.h
@@ -28,6 +28,9 @@
     pid_t id() const { return m_pid; }
     bool isRunning();
 
+    /// @brief Returns the resident memory in MB; zero if the process has ended.
+    long residentMb() const;
+
     /// @brief Sends a signal: SIGKILL, SIGTERM, SIGSTOP to freeze, SIGCONT to go on.
     void signal(int number) const;
 
