Keep a silent target until the next one responds

Cause: the send at a target that reported to be busy three times was cancelled before another target had taken the request. If the others declined, nothing was left of it. Change: HeldSend keeps that send. The first event of either target decides; a request that no other target takes returns to the silent one. Why it works: a request never gives up the only target that has it. It is sent only where it was sent before, within the route's bound and the retry budget.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -12,6 +12,7 @@
 
 #include "crash_guard.h"
 #include "fleet_service.h"
+#include "held_send.h"
 #include "id_text.h"
 #include "ingress_service.h"
 #include "metrics_service.h"
@@ -71,9 +72,15 @@
     , m_source(source)
     , m_caller(platform::readCallerFields(m_requestHead))
     , m_arrivedAt(services.reactor.now())
-    , m_send(services.reactor, services.targets, *this)
+    , m_send(makeSend())
 { }
 
+std::shared_ptr<TargetSend> Exchange::makeSend()
+{
+    SendListener &listener = *this;
+    return std::make_shared<TargetSend>(m_services.reactor, m_services.targets, listener);
+}
+
 Exchange::~Exchange()
 {
     m_services.reactor.cancel(m_deadlineTimer);
@@ -283,6 +290,8 @@
               << admissionText(refusal.admission)
               << " retry_after_ms=" << refusal.retryAfter.count();
     m_services.metrics.countRefusal(nameOf(refusal.reason));
+    if (resumeHeldSend())
+        return;
     failRequest(nameOf(refusal.reason),
                 refusal.reason == RefusalReason::TurnedAway ? retryDelay({}) : refusal.retryAfter,
                 502);
@@ -350,8 +359,8 @@
         placement.isRelay ? platform::relayedHead(
             m_requestHead, { fields.timeLeft, fields.resumeAfter }, m_body->size())
                           : platform::forwardedHead(m_requestHead, fields, m_body->size());
-    m_send.start(placement.target, placement.isRelay ? Receiver::Instance : Receiver::Target, head,
-                 m_body, m_requestHead.method, m_caller.requestId, needsNewConnection);
+    m_send->start(placement.target, placement.isRelay ? Receiver::Instance : Receiver::Target, head,
+                  m_body, m_requestHead.method, m_caller.requestId, needsNewConnection);
     scheduleStallCheck();
 }
 
@@ -413,8 +422,8 @@
     } else {
         m_services.targets.recordFailure(keyOf(m_placement.target.id),
                                          failure == SendFailure::NotSent);
-        if (failure == SendFailure::Broken && m_send.hasEnded() && !isPromptProven())
-            m_services.crashes.onConnectionLost(m_placement.target, m_send.startedAt(), m_causes);
+        if (failure == SendFailure::Broken && m_send->hasEnded() && !isPromptProven())
+            m_services.crashes.onConnectionLost(m_placement.target, m_send->startedAt(), m_causes);
     }
     m_failedTargets.insert(m_placement.target.id);
     handleFailure(failure);
@@ -424,12 +433,14 @@
 {
     ++m_services.targets.health(keyOf(m_placement.target.id)).failuresInRow;
     m_failedTargets.insert(m_placement.target.id);
-    const std::optional<double> retryAfterSeconds = m_send.responseFields().turnAwaySeconds;
+    const std::optional<double> retryAfterSeconds = m_send->responseFields().turnAwaySeconds;
     if (failure == SendFailure::Declined && retryAfterSeconds && !m_history.isResponseStarted) {
         // It reaches targets, but they have no capacity for the request now.
         LOG(INFO) << "placement: relay declined id=" << m_caller.requestId
                   << " instance=" << m_placement.target.id.value
                   << " retry_after_s=" << *retryAfterSeconds;
+        if (resumeHeldSend())
+            return;
         failRequest("relay-declined",
                     Milliseconds(static_cast<std::int64_t>(*retryAfterSeconds * 1'000)), 502);
         return;
@@ -451,14 +462,14 @@
     m_services.metrics.countSendFailure(m_placement.target.id, failure);
     LOG(INFO) << "exchange: send failed id=" << m_caller.requestId
               << " target=" << m_placement.target.id.value << " failure=" << nameOf(failure)
-              << " reused=" << m_send.isReused() << " sends=" << m_history.sends
-              << " events=" << m_scanner.count << " framing=" << nameOf(m_send.framing())
-              << " connection=" << m_send.connectionEnd() << " step=" << nameOf(step)
+              << " reused=" << m_send->isReused() << " sends=" << m_history.sends
+              << " events=" << m_scanner.count << " framing=" << nameOf(m_send->framing())
+              << " connection=" << m_send->connectionEnd() << " step=" << nameOf(step)
               << " suspected=" << isUnsafe << " allowed=" << isAllowed;
     m_failedTargets.insert(m_placement.target.id);
     if (isAllowed)
         send();
-    else
+    else if (!resumeHeldSend())
         failRequest("target-failed", retryDelay(notRunRetryAfter), 502);
 }
 
@@ -486,7 +497,7 @@
 {
     if (m_isOver)
         return;
-    m_send.cancel();
+    m_send->cancel();
     endSend();
     finish(0, "caller-gone");
 }
@@ -498,7 +509,7 @@
         return;
     // A whole response is not cut off because its caller still reads it.
     const bool isDelivering = m_history.isResponseStarted && !m_isEventStream && m_hasAwaitedCaller
-                              && m_send.framing() == http::Framing::Length;
+                              && m_send->framing() == http::Framing::Length;
     m_hasAwaitedCaller = false;
     if (isDelivering) {
         startDeadlineTimer(deliveryCheckInterval);
@@ -510,7 +521,7 @@
 
 void Exchange::failRequest(std::string_view reason, Milliseconds retryAfter, int statusIfUnknown)
 {
-    m_send.cancel();
+    m_send->cancel();
     endSend();
     if (m_history.isResponseStarted)
         abortResponse(reason);
@@ -556,6 +567,7 @@
     if (m_isOver)
         return;
     m_isOver = true;
+    endHeldSend();
     m_services.reactor.cancel(m_deadlineTimer);
     m_services.reactor.cancel(m_stallTimer);
     const Milliseconds now = m_services.reactor.now();
@@ -569,7 +581,8 @@
               << " first_ms=" << first.count() << " expected_ms=" << m_placement.expectedMs
               << " longest_pause_ms=" << m_longestEventGap.count()
               << " last_event=" << (m_scanner.lastId.empty() ? "none" : m_scanner.lastId)
-              << " framing=" << nameOf(m_send.framing()) << " connection=" << m_send.connectionEnd()
+              << " framing=" << nameOf(m_send->framing())
+              << " connection=" << m_send->connectionEnd()
               << " total_ms=" << (now - m_arrivedAt).count();
     RequestSummary summary;
     summary.team = m_team;
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -82,6 +82,8 @@
     void stop();
 
 private:
+    class HeldSend;
+
     bool maySend() override;
     void onRequestSent() override;
     bool onResponseHead(http::ResponseHead head, std::optional<int> inFlight) override;
@@ -89,6 +91,7 @@
     void onResponseComplete() override;
     void onSendFailed(limits::SendFailure failure, const std::string &failedTargetAddress) override;
 
+    std::shared_ptr<TargetSend> makeSend();
     void begin();
     void waitForConfiguration();
 
@@ -125,7 +128,17 @@
 
     /// @brief Asks for a placement that excludes the current target.
     std::optional<Placement> placeElsewhere();
+
+    /// @brief Sends the request to another target. The present send is kept until that responds.
     void migrateTo(const Placement &placement);
+
+    /// @brief Goes on with the send that is kept, in place of the present one.
+    /// @return False if none is kept.
+    bool resumeHeldSend();
+    void onHeldSendFailed(limits::SendFailure failure);
+
+    /// @brief Cancels the send that is kept, if there is one.
+    void endHeldSend();
     void scheduleStallCheck();
     void checkForStall();
 
@@ -200,7 +213,8 @@
     Placement m_placement; ///< Of the last send.
     /// Memory at helper engines; null if only the first engine holds memory for the request.
     std::shared_ptr<MemoryReservations> m_reservations;
-    TargetSend m_send;
+    std::shared_ptr<TargetSend> m_send;
+    std::shared_ptr<HeldSend> m_heldSend; ///< Null unless a silent target is kept.
     http::ResponseHead m_responseHead; ///< Once the caller has received it, it does not change.
     std::optional<int> m_reportedInFlight; ///< In-flight requests as reported by the target.
     std::string m_buffer; ///< Response body that has not been forwarded yet.
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -30,7 +30,7 @@
     if (m_history.sends > 1) {
         LOG(INFO) << "exchange: response after an earlier send id=" << m_caller.requestId
                   << " target=" << m_placement.target.id.value << " status=" << head.status
-                  << " framing=" << nameOf(m_send.framing())
+                  << " framing=" << nameOf(m_send->framing())
                   << " begun=" << m_history.isResponseStarted
                   << " after_event=" << (m_scanner.lastId.empty() ? "none" : m_scanner.lastId);
     }
@@ -55,6 +55,7 @@
     if (!hasBegun && m_buffer.size() <= maxBuffered)
         return true;
     if (!hasBegun) {
+        endHeldSend();
         m_history.isResponseStarted = true;
         m_connection->beginResponse(m_responseHead.status, m_responseHead.reason,
                                     responseFields(m_responseHead));
@@ -70,14 +71,14 @@
     if (m_connection->unsent() <= maxUnsent)
         return;
     m_hasAwaitedCaller = true;
-    m_send.pauseInput(true);
+    m_send->pauseInput(true);
     const std::weak_ptr<Exchange> weak = weak_from_this();
     m_connection->onDrain([weak] {
         const std::shared_ptr<Exchange> self = weak.lock();
-        if (!self || self->m_isOver || !self->m_send.isPaused())
+        if (!self || self->m_isOver || !self->m_send->isPaused())
             return;
         self->m_lastEventAt = self->m_services.reactor.now(); // the target was not silent
-        self->m_send.pauseInput(false);
+        self->m_send->pauseInput(false);
     });
 }
 
@@ -86,6 +87,7 @@
     const std::string events = http::extractEvents(m_scanner, bytes);
     if (events.empty())
         return !m_scanner.isOutOfOrder && !m_scanner.isTooLong;
+    endHeldSend();
     const Milliseconds now = m_services.reactor.now();
     if (m_history.isResponseStarted)
         m_longestEventGap = std::max(m_longestEventGap, now - m_lastForwardedAt);
@@ -136,7 +138,7 @@
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
     endSend(m_responseHead.status == 200);
-    m_services.metrics.countResponseEnd(m_send.framing(), m_send.connectionEnd());
+    m_services.metrics.countResponseEnd(m_send->framing(), m_send->connectionEnd());
     const placement::EngineKey key = keyOf(m_placement.target.id);
     if (m_isEventStream && !m_scanner.partial.empty()) {
         // The response ended in the middle of an event, so the target did not complete it.
@@ -204,7 +206,7 @@
 
 void Exchange::abortResponse(std::string_view reason)
 {
-    m_send.cancel();
+    m_send->cancel();
     endSend();
     m_connection->abortResponse();
     finish(0, reason);
--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -80,19 +80,11 @@
     return placement != nullptr ? std::optional<Placement>(*placement) : std::nullopt;
 }
 
-void Exchange::migrateTo(const Placement &placement)
-{
-    m_failedTargets.insert(m_placement.target.id);
-    m_send.cancel();
-    endSend();
-    reserveAndSend(placement);
-}
-
 void Exchange::checkForStall()
 {
     if (m_isOver)
         return;
-    if (m_send.isPaused() || !canMigrate() || !isTargetStalled()) {
+    if (m_send->isPaused() || !canMigrate() || !isTargetStalled()) {
         scheduleStallCheck();
         return;
     }
@@ -155,7 +147,7 @@
 void Exchange::migrate()
 {
     // Prompts that hold memory at helper engines are not migrated: their callers expect long waits.
-    if (m_isOver || m_placement.entryId == 0 || m_reservations || m_send.isPaused()
+    if (m_isOver || m_placement.entryId == 0 || m_reservations || m_send->isPaused()
         || !canMigrate())
         return;
     const Milliseconds now = m_services.reactor.now();
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -32,7 +32,7 @@
 TargetSend::TargetSend(net::Reactor &reactor, TargetPool &pool, SendListener &listener)
     : m_reactor(reactor)
     , m_pool(pool)
-    , m_listener(listener)
+    , m_listener(&listener)
 { }
 
 TargetSend::~TargetSend()
@@ -61,7 +61,7 @@
     ++m_pool.health(keyOf(m_target.id)).inFlight;
     m_connection = m_pool.acquire(m_target, needsNewConnection, m_requestId, this);
     if (m_connection.isReused) {
-        if (m_listener.maySend())
+        if (m_listener->maySend())
             writeRequest();
         else
             withhold();
@@ -103,7 +103,7 @@
     m_reactor.cancel(m_connectTimer);
     if (!m_isRelay)
         m_pool.reach().onConnected();
-    if (m_listener.maySend())
+    if (m_listener->maySend())
         writeRequest();
     else
         fail(limits::SendFailure::Withheld);
@@ -117,7 +117,7 @@
     m_connection.stream->write(m_requestHead);
     if (!m_requestBody->empty())
         m_connection.stream->writeShared(m_requestBody);
-    m_listener.onRequestSent();
+    m_listener->onRequestSent();
 }
 
 void TargetSend::onBytes()
@@ -194,7 +194,7 @@
         discardResponse(limits::SendFailure::Declined);
         return false;
     }
-    if (!m_listener.onResponseHead(m_head, m_fields.inFlight)) {
+    if (!m_listener->onResponseHead(m_head, m_fields.inFlight)) {
         discardResponse(limits::SendFailure::NotContinued);
         return false;
     }
@@ -208,7 +208,7 @@
         http::readBody(m_reader, m_connection.stream->input(), rest) == http::BodyState::Complete;
     const std::string faulty = m_fields.failedTargetAddress;
     release(isComplete && keepsConnection());
-    m_listener.onSendFailed(failure, faulty);
+    m_listener->onSendFailed(failure, faulty);
 }
 
 void TargetSend::readBody()
@@ -231,7 +231,7 @@
         return;
     }
     const std::shared_ptr<bool> isAlive = m_isAlive;
-    const bool isUsable = bytes.empty() || m_listener.onResponseBytes(std::move(bytes));
+    const bool isUsable = bytes.empty() || m_listener->onResponseBytes(std::move(bytes));
     if (!*isAlive || m_isOver)
         return;
     if (!isUsable) {
@@ -315,13 +315,13 @@
 void TargetSend::complete()
 {
     release(keepsConnection());
-    m_listener.onResponseComplete();
+    m_listener->onResponseComplete();
 }
 
 void TargetSend::fail(limits::SendFailure failure, const std::string &failedTargetAddress)
 {
     release(false);
-    m_listener.onSendFailed(failure, failedTargetAddress);
+    m_listener->onSendFailed(failure, failedTargetAddress);
 }
 
 void TargetSend::release(bool mayReuse)
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -65,6 +65,9 @@
     TargetSend(net::Reactor &reactor, TargetPool &pool, SendListener &listener);
     ~TargetSend() override;
 
+    /// @brief Sets the listener of the further events.
+    void setListener(SendListener &listener) { m_listener = &listener; }
+
     /// @brief Connects to the target and sends the request.
     /// @param target For `Receiver::Instance`, the address of an instance and an id for it.
     /// @param head Of the request, with the empty line at its end.
@@ -81,6 +84,9 @@
     void pauseInput(bool isPaused);
 
     bool isPaused() const { return m_isPaused; }
+
+    /// @brief Returns whether the request has been written and the response is not complete.
+    bool isInProgress() const { return m_isSent && !m_isOver; }
     const fleet::TargetEntry &target() const { return m_target; }
 
     /// @brief Returns the fields of the current response; default values before its head.
@@ -130,7 +136,7 @@
 
     net::Reactor &m_reactor;
     TargetPool &m_pool;
-    SendListener &m_listener;
+    SendListener *m_listener;
     fleet::TargetEntry m_target;
     TargetConnection m_connection;
     std::string m_requestHead;
--- a/tests/node/streams_test.cpp
+++ b/tests/node/streams_test.cpp
@@ -1,6 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <memory>
 #include <set>
+#include <thread>
 
 #include "support/test_cluster.h"
 
@@ -206,3 +209,117 @@
     CHECK(response.elapsed < 2'300_ms);
     CHECK(cluster.standIn.arrivalsOf("slow").size() == 1);
 }
+
+namespace {
+
+// Time after which a stream has left a silent target that reports work.
+constexpr Milliseconds silence = 5'600_ms;
+
+// A cluster with long time-outs, one of whose targets is silent in the middle of its responses.
+struct SilentTargetCluster : TestCluster
+{
+    explicit SilentTargetCluster(const Script &next)
+        : TestCluster(subnet)
+    {
+        std::string configuration = testConfiguration(2);
+        const std::string timeout = "\"timeoutMs\":2000";
+        for (std::size_t at = configuration.find(timeout); at != std::string::npos;
+             at = configuration.find(timeout))
+            configuration.replace(at, timeout.size(), "\"timeoutMs\":9000");
+        standIn.put("op/config", configuration);
+        standIn.setScript(
+            [next, seen = std::make_shared<std::set<std::string>>()](const Arrival &arrival) {
+                if (!seen->insert(arrival.requestId).second)
+                    return next;
+                Script script;
+                script.events = arrival.head.target.find("/stream/") == 0 ? 2 : 0;
+                script.firstEventDelay = script.events > 0 ? 10_ms : silence;
+                script.eventGap = silence;
+                return script;
+            });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300)); // the configuration applies
+    }
+
+    Response send(const std::string &route, const std::string &id)
+    {
+        CallerRequest request = streamRequest(route, id);
+        request.deadlineMs = 9'000;
+        return nodes.sendRequest(0, request, 9'000_ms);
+    }
+};
+
+Script declining()
+{
+    Script script;
+    script.declines = true;
+    return script;
+}
+
+} // namespace
+
+// Guards against streams that are cut because their target is silent for a while and no other one
+// takes them.
+TEST_CASE("a stream stays at its silent target if the next targets decline it")
+{
+    SilentTargetCluster cluster(declining());
+    REQUIRE(cluster.isReady);
+    const Response response = cluster.send("stream", "declined");
+    CHECK(response.isComplete);
+    CHECK(response.body == eventsFrom(1, 2));
+    CHECK(cluster.standIn.arrivalsOf("declined").size() > 1);
+}
+
+TEST_CASE("a silent target that goes on before the next one responds keeps the stream")
+{
+    Script silent;
+    silent.neverResponds = true;
+    SilentTargetCluster cluster(silent);
+    REQUIRE(cluster.isReady);
+    const Response response = cluster.send("stream", "both-silent");
+    CHECK(response.isComplete);
+    CHECK(response.body == eventsFrom(1, 2));
+    CHECK(response.elapsed < 6'500_ms);
+    CHECK(cluster.standIn.arrivalsOf("both-silent").size() == 2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(cluster.standIn.abandoned() == 1); // the other target works for nobody
+}
+
+TEST_CASE("a stream ends at its silent target once the next one responds")
+{
+    Script next;
+    next.events = 4;
+    next.eventGap = 600_ms;
+    SilentTargetCluster cluster(next);
+    REQUIRE(cluster.isReady);
+    const Response response = cluster.send("stream", "moved");
+    CHECK(response.isComplete);
+    CHECK(response.body == eventsFrom(1, 4));
+    CHECK(cluster.standIn.abandoned() == 1);
+}
+
+TEST_CASE("an idempotent request stays at its slow target if the next targets decline it")
+{
+    SilentTargetCluster cluster(declining());
+    REQUIRE(cluster.isReady);
+    const Response response = cluster.send("read", "slow-read");
+    CHECK(response.status == 200);
+    CHECK(cluster.standIn.arrivalsOf("slow-read").size() > 1);
+}
+
+TEST_CASE("a caller that leaves ends the work at the silent target and at the next one")
+{
+    Script silent;
+    silent.neverResponds = true;
+    SilentTargetCluster cluster(silent);
+    REQUIRE(cluster.isReady);
+    CallerRequest request = streamRequest("stream", "left");
+    request.deadlineMs = 9'000;
+    {
+        Caller caller(cluster.nodes.callerAddress(0));
+        caller.send(request.text());
+        caller.receive("POST", 5'300_ms);
+    }
+    CHECK(cluster.standIn.arrivalsOf("left").size() == 2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(cluster.standIn.abandoned() == 2);
+}
