Let callers that are refused finish sending

What callers saw: a reset instead of the refusal, if they sent a large body for more than a second after it had been refused (413, 431, 503). Cause: a closing stream waited a second for the end of its peer's side, however much the peer was still sending. Change: discarded input starts that second anew, for ten seconds at most, and a stopping process waits for such callers, too. Why it works: a caller that sends without pauses of a second gets to its end and reads the refusal before the connection is closed. Evidence: the new case of node.body_memory_test, 5 MB sent in 3 s, fails before ("Broken pipe") and passes after.

--- a/src/daemon/net/http_server.cpp
+++ b/src/daemon/net/http_server.cpp
@@ -82,7 +82,7 @@
     std::size_t bytes = 0;
     for (const Accepted &accepted : m_connections) {
         if (const std::shared_ptr<TcpStream> stream = accepted.stream.lock())
-            bytes += stream->undelivered();
+            bytes += stream->undelivered() + (stream->isDiscarding() ? 1 : 0);
     }
     return bytes;
 }
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -28,8 +28,10 @@
 constexpr int keepAliveIdleS = 1;
 constexpr int keepAliveIntervalS = 1;
 constexpr int keepAliveProbes = 2;
-// Time that the peer has to close its side after it has received everything.
+// Time that the peer has to close its side after it has received everything and sends no more.
 constexpr Milliseconds lingerTimeout = Milliseconds(1'000);
+// Limit of the time for which input is discarded, as a peer may send without end.
+constexpr Milliseconds maxDiscardTime = Milliseconds(10'000);
 constexpr std::size_t readBufferBytes = 16UL * 1024; // most messages fit into one read
 constexpr int maxReadsPerCallback = 8; // a peer that sends fast must not starve other connections
 constexpr int listenBacklog = 512; // absorbs many callers that reconnect at the same time
@@ -178,6 +180,11 @@
     return unsent() + static_cast<std::size_t>(std::max(inKernel, 0));
 }
 
+bool TcpStream::isDiscarding() const
+{
+    return m_isOpen && m_isDiscarding && m_reactor.now() - m_deliveredAt < lingerTimeout;
+}
+
 void TcpStream::close()
 {
     if (!m_isOpen)
@@ -222,7 +229,7 @@
     m_listener = nullptr;
     m_isClosing = true;
     m_isPaused = false;
-    m_deliveredAt = m_reactor.now();
+    m_closingSince = m_deliveredAt = m_reactor.now();
     startDeliveryTimer();
     flush();
 }
@@ -326,6 +333,17 @@
     updatePollMode();
 }
 
+void TcpStream::discardedInput()
+{
+    const Milliseconds now = m_reactor.now();
+    if (now - m_closingSince >= maxDiscardTime)
+        return;
+    // Many peers read a response only after they have sent the whole request; a reset before that
+    // takes it from them.
+    m_isDiscarding = true;
+    m_deliveredAt = now;
+}
+
 void TcpStream::readSome()
 {
     if (m_leavesInput) {
@@ -354,8 +372,10 @@
             finish(StreamEnd::Closed);
             return;
         }
-        if (m_isClosing)
+        if (m_isClosing) {
+            discardedInput();
             continue;
+        }
         m_input.append(buffer.data(), static_cast<std::size_t>(count));
         if (m_listener != nullptr)
             m_listener->onBytes();
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -77,6 +77,11 @@
     /// @complexity One system call.
     std::size_t undelivered() const;
 
+    /// @brief Returns whether the peer of a closing stream has sent bytes within the last second.
+    /// It
+    ///        may read what it was sent only afterwards.
+    bool isDiscarding() const;
+
     /// @brief Closes the socket immediately and discards unsent bytes. The listener receives no
     ///        further events.
     void close();
@@ -92,8 +97,8 @@
 
     /// @brief Flushes the output, shuts down the sending side, and waits about a second for the
     ///        peer to close its side (lingering close). That time begins when the peer has received
-    ///        everything; before that, the stream ends if the peer acknowledges nothing for 2.5
-    ///        seconds.
+    ///        everything and sends no more, at most ten seconds after this call; before that, the
+    ///        stream ends if the peer acknowledges nothing for 2.5 seconds.
     ///
     /// Closing a socket with unread input would reset the connection, and the peer could lose the
     /// end of the last response. Input is therefore discarded until then, unless `leaveInput` was
@@ -141,6 +146,9 @@
     /// @brief Finds out whether the peer has closed its side, without reading input.
     void checkForEnd();
     void stopWatchingInput();
+
+    /// @brief Gives a peer that still sends time to finish.
+    void discardedInput();
     void flush();
     void finish(StreamEnd end);
     void updatePollMode();
@@ -156,7 +164,8 @@
     TimerId m_deliveryTimer = 0; ///< Runs while output is on its way, and while closing.
     std::size_t m_written = 0; ///< Total of all output.
     std::size_t m_delivered = 0; ///< Part of it that the peer had acknowledged at the last check.
-    Milliseconds m_deliveredAt; ///< When `m_delivered` last rose.
+    Milliseconds m_deliveredAt; ///< When `m_delivered` last rose, or input was last discarded.
+    Milliseconds m_closingSince;
     int m_mode = 0;
     bool m_isOpen = true;
     bool m_isConnected = false;
@@ -164,6 +173,7 @@
     bool m_isAccepted = false;
     bool m_isClosing = false;
     bool m_leavesInput = false;
+    bool m_isDiscarding = false; ///< The peer has sent bytes since `closeGracefully`.
 };
 
 /// @brief Accepts connections and passes each of them to a callback.
--- a/tests/node/body_memory_test.cpp
+++ b/tests/node/body_memory_test.cpp
@@ -136,3 +136,24 @@
                 "Content-Length: 4000000\r\n\r\n");
     CHECK(caller.receive("GET").status == 413);
 }
+
+// Guards against a reset that takes the refusal from a caller which is still sending its request.
+TEST_CASE("a caller that is refused while it sends its body receives the refusal")
+{
+    MemoryCluster cluster;
+    REQUIRE(cluster.isReady);
+    Caller caller(cluster.nodes.callerAddress(0));
+    CallerRequest request = plainRequest("pay", "slow-sender");
+    request.extraFields = "Content-Length: 5000000\r\n";
+    caller.send(request.text());
+    try {
+        for (int i = 0; i < 10; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+            caller.send(std::string(500'000, 'b'));
+        }
+        CHECK(caller.receive("POST").status == 413);
+    } catch (const Poco::Exception &error) {
+        FAIL("the connection was reset: ", error.displayText());
+    }
+    CHECK(caller.waitForEnd(1'500_ms) == ConnectionEnd::Closed);
+}
