Do not return to a target that has begun a long prefill

Cause: an event that the engine had sent before the prefill began counted as a sign that it goes on. Why it works: an unread event decides nothing, and full targets decline within a round trip. No test of the node's plays a long prefill.

--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -84,6 +84,12 @@
 private:
     class HeldSend;
 
+    /// @brief When an exchange returns to a send that it has left.
+    enum class HeldUse {
+        Resume, ///< When its target goes on, or when no other target can be tried.
+        Fallback, ///< When the next targets decline at once and no other one can be tried.
+    };
+
     bool maySend() override;
     void onRequestSent() override;
     bool onResponseHead(http::ResponseHead head, std::optional<int> inFlight) override;
@@ -130,7 +136,7 @@
     std::optional<Placement> placeElsewhere();
 
     /// @brief Sends the request to another target. The present send is kept until that responds.
-    void migrateTo(const Placement &placement);
+    void migrateTo(const Placement &placement, HeldUse use);
 
     /// @brief Goes on with the send that is kept, in place of the present one.
     /// @return False if none is kept.
@@ -139,6 +145,7 @@
 
     /// @brief Cancels the send that is kept, if there is one.
     void endHeldSend();
+    void endHeldSendAfter(Milliseconds delay);
     void scheduleStallCheck();
     void checkForStall();
 
--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -136,7 +136,7 @@
               << " events=" << m_scanner.count;
     if (!m_placement.isRelay && !isCutOff())
         m_services.targets.recordFailure(keyOf(stalledTarget), m_service->engine.has_value());
-    migrateTo(*placement);
+    migrateTo(*placement, HeldUse::Resume);
 }
 
 placement::EngineKey Exchange::engine() const
@@ -168,8 +168,9 @@
               << " target=" << m_placement.target.id.value << " stay_ms=" << stayMs
               << " move_ms=" << placement->expectedMs << " better=" << isBetter
               << " moved=" << isAllowed;
+    // Events that were sent before the prefill began do not mean that the target goes on.
     if (isAllowed)
-        migrateTo(*placement);
+        migrateTo(*placement, HeldUse::Fallback);
     else
         m_services.placement.endRequest(placement->entryId, false);
 }
--- a/apps/node/held_send.h
+++ b/apps/node/held_send.h
@@ -7,13 +7,12 @@
 /// @brief A send whose target is silent, with the state of the exchange that belongs to it. It is
 ///        kept while the request is tried elsewhere.
 ///
-/// The next target may decline the request, fail, or take longer than this one. The exchange
-/// returns to this send when its target goes on, or when no other target can be tried.
+/// The next target may decline the request, fail, or take longer than this one.
 class Exchange::HeldSend : private SendListener
 {
 public:
     /// @brief Takes the present send from the exchange, which has none afterwards.
-    explicit HeldSend(Exchange &exchange);
+    HeldSend(Exchange &exchange, HeldUse use);
 
     /// @brief Gives the send back to the exchange. @pre The exchange has cancelled its own one.
     void restore();
