Share the memory for responses to slow callers

What callers saw: nothing yet; by reading, an instance of 112 MB would be ended by some 300 callers that read nothing of large responses for a second. Cause: 256 KiB of each response could be buffered and, because a paused connection was read on, 128 KiB more, whatever their number. Change: limits/response_buffer divides 20 % of the stated memory by the requests in hand. Paused connections are read no further. Large output buffers are freed once everything is sent. Why it works: with more responses each gets less, and its target is paused sooner; the sum stays the same.

--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -14,11 +14,6 @@
 
 namespace {
 
-// Responses without events are buffered up to this size, so that the request can be retried if the
-// connection breaks; larger responses are streamed to the caller.
-constexpr std::size_t maxBuffered = 256UL * 1024;
-// The target is read no further while the caller has so much still to receive.
-constexpr std::size_t maxUnsent = 256UL * 1024;
 // An engine that a prompt crashes writes few events on it, if any.
 constexpr int minProvenEvents = 4;
 constexpr Milliseconds minProvenTime = Milliseconds(600);
@@ -52,7 +47,8 @@
         return forwardEvents(bytes);
     m_buffer += bytes;
     const bool hasBegun = m_history.isResponseStarted;
-    if (!hasBegun && m_buffer.size() <= maxBuffered)
+    // The request can be retried if the connection breaks while the response is buffered.
+    if (!hasBegun && m_buffer.size() <= m_services.ingress.responseBuffer())
         return true;
     if (!hasBegun) {
         endHeldSend();
@@ -68,7 +64,7 @@
 
 void Exchange::awaitCaller()
 {
-    if (m_connection->unsent() <= maxUnsent)
+    if (m_connection->unsent() <= m_services.ingress.responseBuffer())
         return;
     m_hasAwaitedCaller = true;
     m_send->pauseInput(true);
--- a/apps/node/ingress_service.cpp
+++ b/apps/node/ingress_service.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <egretmount/core/hash.h>
+#include <egretmount/limits/response_buffer.h>
 #include <egretmount/limits/target_notices.h>
 
 #include "crash_guard.h"
@@ -112,6 +113,11 @@
         exchange->onBlocked();
 }
 
+std::size_t IngressService::responseBuffer() const
+{
+    return limits::responseBuffer(m_fleet->settings().capacity.memoryMb, m_exchanges.size());
+}
+
 void IngressService::recordRequest(const ServiceId &service)
 {
     limits::recordRequest(m_budgets[service.value], m_fleet->settings().retryBound,
--- a/apps/node/ingress_service.h
+++ b/apps/node/ingress_service.h
@@ -70,6 +70,9 @@
     /// @brief Returns the number of requests that have not been answered yet.
     std::size_t requestsInHand() const { return m_exchanges.size(); }
 
+    /// @brief Returns how many bytes of one response may be buffered.
+    std::size_t responseBuffer() const;
+
     /// @brief Counts a caller's request to a service in the retry budget of the service.
     void recordRequest(const ServiceId &service);
 
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -33,6 +33,7 @@
 // Limit of the time for which input is discarded, as a peer may send without end.
 constexpr Milliseconds maxDiscardTime = Milliseconds(10'000);
 constexpr std::size_t readBufferBytes = 16UL * 1024; // most messages fit into one read
+constexpr std::size_t maxKeptCapacity = 64UL * 1024; // of the output buffer of an idle connection
 constexpr int maxReadsPerCallback = 8; // a peer that sends fast must not starve other connections
 constexpr int listenBacklog = 512; // absorbs many callers that reconnect at the same time
 
@@ -351,7 +352,7 @@
         return;
     }
     std::array<char, readBufferBytes> buffer;
-    for (int i = 0; i < maxReadsPerCallback && m_isOpen; ++i) {
+    for (int i = 0; i < maxReadsPerCallback && m_isOpen && !m_isPaused; ++i) {
         int count = 0;
         try {
             count = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
@@ -414,6 +415,8 @@
         return;
     if (unsent() == 0) {
         m_output.clear();
+        if (m_output.capacity() > maxKeptCapacity)
+            m_output.shrink_to_fit();
         m_sent = 0;
         m_shared.reset();
         if (m_isClosing) {
