Keep targets with a rate limit in the short pool

Cause: an engine that may not help others could not be in the short pool. That is meant for ejected and cold engines, but holds for targets with a limit, too. While the other engines sufficed, no request was placed there, and only a response tells that a limit has ended. Change: Candidate::canBeInShortPool is apart from canBeHelper, and is false for ejected and cold engines only. The planner's test of ejected engines sets both, as the placement service does. Why it works: at each moment at which its limit allows a request, such a target is chosen like any other engine of the pool.

--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -182,8 +182,9 @@
     candidate.penalty = failurePenalty * health.failureRate;
     if (m_targets->isEjected(candidate.key)) {
         candidate.penalty += ejectedPenalty;
-        candidate.canBeHelper = false;
+        candidate.canBeHelper = candidate.canBeInShortPool = false;
     }
+    // It stays in the short pool: only a response can tell that the limit has ended.
     if (m_targets->isLimited(target.entry))
         candidate.canBeHelper = false;
     if (target.isUnlisted)
@@ -197,7 +198,7 @@
     }
     if (fleet::isCold(target, m_reactor.now())) {
         candidate.penalty += coldPenalty;
-        candidate.canBeHelper = false;
+        candidate.canBeHelper = candidate.canBeInShortPool = false;
         candidate.canBePrimary =
             limits::coldRateShare(target.entry.id, service.coldRequestsPerSecond,
                                   InstanceId(m_fleet->settings().host), m_peers->living())
--- a/include/egretmount/placement/planner.h
+++ b/include/egretmount/placement/planner.h
@@ -35,6 +35,7 @@
     EngineKey key = 0;
     bool canBePrimary = true; ///< May receive the request and decode the answer.
     bool canBeHelper = true; ///< May prefill a shard for another engine.
+    bool canBeInShortPool = true; ///< Short requests may be concentrated there.
     double penalty = 0; ///< Added to its cost, for instance for distance or recent failures.
     bool isRuledOut = false; ///< Not chosen as the primary engine; counts for the short pool.
 };
--- a/src/placement/engine_load.cpp
+++ b/src/placement/engine_load.cpp
@@ -123,7 +123,7 @@
 {
     std::vector<EngineLoad *> inOrder;
     for (EngineLoad &load : loads) {
-        if (load.candidate->canBePrimary && load.candidate->canBeHelper)
+        if (load.candidate->canBePrimary && load.candidate->canBeInShortPool)
             inOrder.push_back(&load);
     }
     std::sort(inOrder.begin(), inOrder.end(), [](const EngineLoad *a, const EngineLoad *b) {
--- a/src/placement/engine_load.h
+++ b/src/placement/engine_load.h
@@ -61,8 +61,8 @@
                   const Candidate &candidate, const Demand &demand, LoadPolicy policy,
                   Milliseconds now);
 
-/// @brief Marks the engines of the short pool: in the order of their keys, the first ones that can
-///        be both primary and helper.
+/// @brief Marks the engines of the short pool: in the order of their keys, the first ones that may
+///        be in it and be primary.
 /// @param size Number of engines to mark at most.
 /// @param forecast Says which of them belong to the cell of this instance.
 void markShortPool(std::vector<EngineLoad> &loads, int size, const DemandForecast &forecast);
--- a/tests/parts/placement_planner_test.cpp
+++ b/tests/parts/placement_planner_test.cpp
@@ -403,7 +403,7 @@
     std::vector<Candidate> all = candidates(45);
     for (std::size_t i = 30; i < all.size(); ++i) {
         all[i].penalty = request.weight;
-        all[i].canBeHelper = false;
+        all[i].canBeHelper = all[i].canBeInShortPool = false;
     }
     const std::optional<Plan> made = placement::planPlacement(
         tracker, speed, all, request, { requests, 1, 0, { true, false } }, 100_ms);
@@ -474,3 +474,22 @@
     CHECK(chosen(14, 0, 0.1) == 1);
     CHECK(chosen(31, 18, 0) == 2);
 }
+
+// Guards against a rate limit that is never found to have ended, because no request is placed at
+// its engine while the others suffice.
+TEST_CASE("an engine that may help no other engine keeps its place in the short pool")
+{
+    LoadTracker tracker;
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        place(tracker, id, { 2 }, shortDemand(), 0_ms, true);
+    std::vector<Candidate> all = candidates(2);
+    all.front().canBeHelper = false;
+    const auto chosen = [&] {
+        const std::optional<Plan> made = placement::planPlacement(
+            tracker, simulation::typicalSpeed(), all, shortDemand(), { 5, 1, 0, {} }, 100_ms);
+        return made ? made->engines.front() : 0;
+    };
+    CHECK(chosen() == 1);
+    all.front().canBeInShortPool = false;
+    CHECK(chosen() == 2);
+}
