Expect that writing a request finds its connection ended

Cause: the head and the body were written one after the other; a first write that fails ends the send and takes its connection away. Also, by reading and older: a send that failed so was counted only after its failure had been handled, so that a request of which a part was written could be answered as "not executed". Change: writeRequest keeps the stream. A send is counted once the kernel has accepted a byte of it, before its failure is handled; without any byte it fails as NotSent, which does not eject the target of a kept connection. Why it works: the stream outlives its end and ignores further writes, and the verdict follows what may have left the machine.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -420,8 +420,9 @@
         if (!failedTargetAddress.empty() && failedTargetAddress != m_placement.target.address)
             m_services.ingress.recordFaultyAddress(failedTargetAddress);
     } else {
+        // A kept connection says little about its target.
         m_services.targets.recordFailure(keyOf(m_placement.target.id),
-                                         failure == SendFailure::NotSent);
+                                         failure == SendFailure::NotSent && !m_send->isReused());
         if (failure == SendFailure::Broken && m_send->hasEnded() && !isPromptProven())
             m_services.crashes.onConnectionLost(m_placement.target, m_send->startedAt(), m_causes);
     }
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -55,7 +55,7 @@
     m_startedAt = std::max(m_target.startedAt, m_pool.health(keyOf(m_target.id)).startedAt);
     m_reader = {};
     m_end.reset();
-    m_isSent = m_hasHead = m_isUnrelated = m_isOver = m_isPaused = false;
+    m_isSent = m_isReported = m_hasHead = m_isUnrelated = m_isOver = m_isPaused = false;
     m_interimBytes = m_discardedBytes = m_bodyBytes = 0;
     m_fields = {};
     ++m_pool.health(keyOf(m_target.id)).inFlight;
@@ -114,9 +114,21 @@
     m_isSent = true;
     if (!m_isRelay)
         m_pool.reach().onRequestSent();
-    m_connection.stream->write(m_requestHead);
-    if (!m_requestBody->empty())
-        m_connection.stream->writeShared(m_requestBody);
+    // Writing may find that the connection has ended, which fails this send.
+    const std::shared_ptr<net::TcpStream> stream = m_connection.stream;
+    const std::shared_ptr<const std::string> body = m_requestBody;
+    stream->write(m_requestHead);
+    if (!body->empty())
+        stream->writeShared(body);
+    if (!m_isOver && stream == m_connection.stream)
+        reportSent();
+}
+
+void TargetSend::reportSent()
+{
+    if (m_isReported)
+        return;
+    m_isReported = true;
     m_listener->onRequestSent();
 }
 
@@ -249,6 +261,12 @@
     if (m_isOver)
         return;
     m_end = end;
+    if (m_isSent && m_connection.stream->hasSent())
+        reportSent();
+    if (m_isSent && !m_isReported) {
+        fail(limits::SendFailure::NotSent);
+        return;
+    }
     if (!m_isSent) {
         if (!m_isRelay)
             m_pool.reach().onConnectFailed();
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -114,6 +114,9 @@
     void withhold();
     void writeRequest();
 
+    /// @brief Tells the listener, once, that the target may execute the request.
+    void reportSent();
+
     /// @brief Parses the next response head. Returns false if the body cannot be read yet.
     bool readHead();
 
@@ -156,7 +159,8 @@
     std::size_t m_bodyBytes = 0;
     bool m_isRelay = false; ///< The receiver is another instance.
     bool m_isPaused = false;
-    bool m_isSent = false;
+    bool m_isSent = false; ///< The request was written, though maybe to no avail.
+    bool m_isReported = false;
     bool m_hasHead = false;
     bool m_isUnrelated = false; ///< The current response belongs to another request.
     bool m_isOver = true;
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -71,6 +71,9 @@
     /// @brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t unsent() const { return m_output.size() - m_sent + unsentShared(); }
 
+    /// @brief Returns whether the kernel has accepted any byte, also after the end of the stream.
+    bool hasSent() const { return m_written > unsent(); }
+
     /// @brief Returns the number of written bytes that the peer has not acknowledged yet; the end
     /// of
     ///        the sending side counts as one byte. Zero after the end of the stream.
--- a/tests/node/retries_test.cpp
+++ b/tests/node/retries_test.cpp
@@ -1,7 +1,13 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <mutex>
 #include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <Poco/Exception.h>
 
 #include "support/test_cluster.h"
 
@@ -180,3 +186,38 @@
     CHECK(retries > 10);
     CHECK(retries <= 0.2 * requests + 104);
 }
+
+// Guards against a crash if a connection turns out to have ended as a request is written.
+TEST_CASE("requests with bodies are answered while connections to targets are reset")
+{
+    TestCluster cluster(subnet);
+    REQUIRE(cluster.isReady);
+    cluster.standIn.setScript([](const Arrival &) { return plainScript(); });
+    std::atomic<int> unanswered = 0;
+    std::vector<std::thread> callers;
+    const Milliseconds end = monotonicNow() + 3'000_ms;
+    for (const char *route : { "read", "pay", "read", "pay" }) {
+        callers.emplace_back([&, route, caller = callers.size()] {
+            for (int i = 0; monotonicNow() < end; ++i) {
+                const std::string id = std::to_string(caller) + '-' + std::to_string(i);
+                CallerRequest request = plainRequest(route, id);
+                request.body = std::string(20'000, 'b');
+                try {
+                    const Response response = cluster.nodes.sendRequest(0, request);
+                    unanswered += response.isComplete ? 0 : 1;
+                } catch (const Poco::Exception &) {
+                    ++unanswered;
+                }
+            }
+        });
+    }
+    // Resets hit connections at any moment, also between the end of connecting and the first write.
+    for (bool isCut = true; monotonicNow() < end; isCut = !isCut) {
+        cluster.nodes.setCut(0, isCut ? CutMode::Reset : CutMode::None);
+        usleep(3'000);
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    CHECK(unanswered == 0);
+    CHECK(cluster.nodes.process(0).isRunning());
+}
