Notice the failure of a paused connection

What callers saw: nothing yet; by reading, an instance whose slow callers' target fails would use a whole core until they have read what they were sent. The kernel reports a failed connection until it is read, whatever is asked for, so the event loop would spin, and the end would be noticed only after the pause. Why it works: each event consumes input or finds the failure, which ends the stream. Evidence: the new case of tcp_stream_test fails before (no end within 240 ms) and passes after; node.response_memory_test and body_memory_test still pass.

--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -352,7 +352,7 @@
         return;
     }
     std::array<char, readBufferBytes> buffer;
-    for (int i = 0; i < maxReadsPerCallback && m_isOpen && !m_isPaused; ++i) {
+    for (int i = 0; i < maxReadsPerCallback && m_isOpen; ++i) {
         int count = 0;
         try {
             count = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
@@ -380,7 +380,8 @@
         m_input.append(buffer.data(), static_cast<std::size_t>(count));
         if (m_listener != nullptr)
             m_listener->onBytes();
-        if (static_cast<std::size_t>(count) < buffer.size())
+        // A paused stream is read, a little at a time, only to find the failure of its connection.
+        if (static_cast<std::size_t>(count) < buffer.size() || m_isPaused)
             return;
     }
 }
--- a/tests/platform/tcp_stream_test.cpp
+++ b/tests/platform/tcp_stream_test.cpp
@@ -153,3 +153,36 @@
     CHECK(monotonicNow() - lastReadAt >= 2'000_ms);
     CHECK(monotonicNow() - lastReadAt < 4'500_ms);
 }
+
+// Guards against an event loop that spins, as the kernel reports a failed connection again and
+// again until it is read.
+TEST_CASE("a paused stream ends when its peer resets the connection")
+{
+    struct EndListener : net::StreamListener
+    {
+        void onBytes() override { }
+        void onEnd(net::StreamEnd end) override { ended = end; }
+        std::optional<net::StreamEnd> ended;
+    };
+    const std::string address = "127.88.41.5:8080";
+    EndListener listener;
+    net::Reactor reactor;
+    std::shared_ptr<net::TcpStream> stream;
+    const std::shared_ptr<net::Listener> accepting =
+        net::Listener::open(reactor, address, [&](const Poco::Net::StreamSocket &socket) {
+            stream = net::TcpStream::adopt(reactor, socket, &listener);
+            stream->pauseInput(true);
+        });
+    Poco::Net::StreamSocket peer;
+    reactor.after(10_ms, [&] { peer.connect(Poco::Net::SocketAddress(address)); });
+    reactor.after(60_ms, [&] {
+        peer.sendBytes("unread", 6);
+        peer.setLinger(true, 0);
+        peer.close();
+    });
+    reactor.after(300_ms, [&] { reactor.stop(); });
+    reactor.run();
+    accepting->close();
+    REQUIRE(listener.ended.has_value());
+    CHECK(*listener.ended == net::StreamEnd::Reset);
+}
