Leave a target with a long prefill at once again

Cause: a stream that is moved away from a long prefill kept its earlier send for 150 ms, so that its engine went on working for it. Only silent targets are kept. Why it works: the engine is relieved when the stream moves. A stream whose next targets decline is cut as before; that stays open.

--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -84,12 +84,6 @@
 private:
     class HeldSend;
 
-    /// @brief When an exchange returns to a send that it has left.
-    enum class HeldUse {
-        Resume, ///< When its target goes on, or when no other target can be tried.
-        Fallback, ///< When the next targets decline at once and no other one can be tried.
-    };
-
     bool maySend() override;
     void onRequestSent() override;
     bool onResponseHead(http::ResponseHead head, std::optional<int> inFlight) override;
@@ -135,8 +129,11 @@
     /// @brief Asks for a placement that excludes the current target.
     std::optional<Placement> placeElsewhere();
 
+    /// @brief Cancels the present send and sends the request to another target.
+    void migrateTo(const Placement &placement);
+
     /// @brief Sends the request to another target. The present send is kept until that responds.
-    void migrateTo(const Placement &placement, HeldUse use);
+    void tryElsewhere(const Placement &placement);
 
     /// @brief Goes on with the send that is kept, in place of the present one.
     /// @return False if none is kept.
@@ -145,7 +142,6 @@
 
     /// @brief Cancels the send that is kept, if there is one.
     void endHeldSend();
-    void endHeldSendAfter(Milliseconds delay);
     void scheduleStallCheck();
     void checkForStall();
 
--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -80,6 +80,14 @@
     return placement != nullptr ? std::optional<Placement>(*placement) : std::nullopt;
 }
 
+void Exchange::migrateTo(const Placement &placement)
+{
+    m_failedTargets.insert(m_placement.target.id);
+    m_send->cancel();
+    endSend();
+    reserveAndSend(placement);
+}
+
 void Exchange::checkForStall()
 {
     if (m_isOver)
@@ -136,7 +144,7 @@
               << " events=" << m_scanner.count;
     if (!m_placement.isRelay && !isCutOff())
         m_services.targets.recordFailure(keyOf(stalledTarget), m_service->engine.has_value());
-    migrateTo(*placement, HeldUse::Resume);
+    tryElsewhere(*placement);
 }
 
 placement::EngineKey Exchange::engine() const
@@ -168,9 +176,8 @@
               << " target=" << m_placement.target.id.value << " stay_ms=" << stayMs
               << " move_ms=" << placement->expectedMs << " better=" << isBetter
               << " moved=" << isAllowed;
-    // Events that were sent before the prefill began do not mean that the target goes on.
     if (isAllowed)
-        migrateTo(*placement, HeldUse::Fallback);
+        migrateTo(*placement);
     else
         m_services.placement.endRequest(placement->entryId, false);
 }
--- a/apps/node/held_send.cpp
+++ b/apps/node/held_send.cpp
@@ -10,14 +10,7 @@
 
 namespace egretmount::node {
 
-namespace {
-
-// Targets that are full decline within a round trip. After that, the work of two would be wasted.
-constexpr Milliseconds fallbackTime = Milliseconds(150);
-
-} // namespace
-
-Exchange::HeldSend::HeldSend(Exchange &exchange, HeldUse use)
+Exchange::HeldSend::HeldSend(Exchange &exchange)
     : m_exchange(exchange)
     , m_send(std::exchange(exchange.m_send, exchange.makeSend()))
     , m_placement(exchange.m_placement)
@@ -35,8 +28,6 @@
     , m_isPromptProven(exchange.isPromptProven())
 {
     m_send->setListener(*this);
-    if (use == HeldUse::Fallback)
-        m_send->pauseInput(true); // its events would be those that the next target sends, too
     exchange.m_reservations.reset();
     exchange.m_placement.entryId = 0; // this object releases it
 }
@@ -44,7 +35,6 @@
 void Exchange::HeldSend::restore()
 {
     m_send->setListener(m_exchange);
-    m_send->pauseInput(false);
     m_exchange.m_send = m_send;
     m_exchange.m_placement = m_placement;
     m_exchange.m_reservations = std::move(m_reservations);
@@ -98,17 +88,15 @@
     m_exchange.onHeldSendFailed(failure);
 }
 
-void Exchange::migrateTo(const Placement &placement, HeldUse use)
+void Exchange::tryElsewhere(const Placement &placement)
 {
     m_failedTargets.insert(m_placement.target.id);
     // The first silent target is kept: it has read more of the prompt than the others.
     if (!m_heldSend && m_send->isInProgress())
-        m_heldSend = std::make_shared<HeldSend>(*this, use);
+        m_heldSend = std::make_shared<HeldSend>(*this);
     else
         m_send->cancel();
     endSend();
-    if (use == HeldUse::Fallback)
-        endHeldSendAfter(fallbackTime);
     reserveAndSend(placement);
 }
 
@@ -157,13 +145,4 @@
     m_heldSend.reset();
 }
 
-void Exchange::endHeldSendAfter(Milliseconds delay)
-{
-    m_services.reactor.after(delay, [weak = weak_from_this(), held = std::weak_ptr(m_heldSend)] {
-        const std::shared_ptr<Exchange> self = weak.lock();
-        if (self && self->m_heldSend && self->m_heldSend == held.lock())
-            self->endHeldSend();
-    });
-}
-
 } // namespace egretmount::node
--- a/apps/node/held_send.h
+++ b/apps/node/held_send.h
@@ -12,7 +12,7 @@
 {
 public:
     /// @brief Takes the present send from the exchange, which has none afterwards.
-    HeldSend(Exchange &exchange, HeldUse use);
+    explicit HeldSend(Exchange &exchange);
 
     /// @brief Gives the send back to the exchange. @pre The exchange has cancelled its own one.
     void restore();
