Ask for another engine without placing the request there

Cause: Exchange::migrate asked whether another engine would be better by committing a placement and ending it. A placement with a long prefill makes the streams at its engines ask, so two stalled streams of one instance set off each other within Reactor::runDeferred. The same trial counted as demand, was told to the other instances as an end, and made the tracker count prefills anew; those of idempotent requests used up the share of a cold target. Change: proposePrompt and proposePlain answer the question on copies, accept records a proposal once the retry budget has allowed it. migrate and leaveStalledTarget use them. Why it works: who only asks changes nothing and wakes nobody. A move that is made is still announced, and is bounded by the route's targets and the budget.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -189,8 +189,19 @@
         if (const std::optional<Placement> relay = m_services.relay.place(m_failedTargets))
             return *relay;
     }
-    if (!m_service->engine || m_caller.promptTokens == 0)
+    if (!hasPrompt())
         return m_services.placement.placePlain(*m_service, m_failedTargets);
+    return m_services.placement.placePrompt(*m_service, demand(), m_failedTargets, timeLeft(),
+                                            m_queueEntryId, m_history.sends > 0);
+}
+
+bool Exchange::hasPrompt() const
+{
+    return m_service->engine && m_caller.promptTokens > 0;
+}
+
+placement::Demand Exchange::demand() const
+{
     placement::Demand demand;
     demand.promptTokens = m_caller.promptTokens;
     demand.maxOutputTokens = m_caller.maxOutputTokens;
@@ -204,8 +215,7 @@
     demand.team = m_team.isEmpty() ? 0 : stableHash(m_team.value);
     demand.randomBits = stableHash(m_caller.requestId);
     demand.deferralId = m_deferralId;
-    return m_services.placement.placePrompt(*m_service, demand, m_failedTargets, timeLeft(),
-                                            m_queueEntryId, m_history.sends > 0);
+    return demand;
 }
 
 void Exchange::send()
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -110,6 +110,12 @@
     /// @brief Asks for another placement, as the present one has meanwhile become unusable.
     void placeAnew();
     Decision place();
+
+    /// @brief Returns whether the request is placed by its prompt, not as a plain request.
+    bool hasPrompt() const;
+
+    /// @brief Returns what the placement of the prompt depends on now.
+    placement::Demand demand() const;
     void waitInQueue(const Queued &queued);
 
     /// @brief Keeps the deferral of a decision, or ends it, and logs the start of one.
@@ -126,8 +132,9 @@
     /// @brief Returns true if the route still allows a send to another target.
     bool canMigrate() const;
 
-    /// @brief Asks for a placement that excludes the current target.
-    std::optional<Placement> placeElsewhere();
+    /// @brief Returns where the request could be sent instead of the current target. Nothing is
+    ///        recorded or announced.
+    std::optional<Proposal> proposeElsewhere();
 
     /// @brief Cancels the present send and sends the request to another target.
     void migrateTo(const Placement &placement);
--- a/apps/node/exchange_stall.cpp
+++ b/apps/node/exchange_stall.cpp
@@ -7,9 +7,11 @@
 #include <egretmount/limits/stall_detection.h>
 #include <egretmount/placement/migration.h>
 
+#include "crash_guard.h"
 #include "fleet_service.h"
 #include "ingress_service.h"
 #include "reach_service.h"
+#include "relay_service.h"
 #include "target_pool.h"
 
 namespace egretmount::node {
@@ -70,14 +72,21 @@
     return step == limits::NextStep::Retry || step == limits::NextStep::ResumeElsewhere;
 }
 
-std::optional<Placement> Exchange::placeElsewhere()
+std::optional<Proposal> Exchange::proposeElsewhere()
 {
-    const auto [position, isAdded] = m_failedTargets.insert(m_placement.target.id);
-    const Decision decision = place();
-    if (isAdded)
-        m_failedTargets.erase(position);
-    const Placement *placement = std::get_if<Placement>(&decision);
-    return placement != nullptr ? std::optional<Placement>(*placement) : std::nullopt;
+    std::set<TargetId> excluded = m_failedTargets;
+    excluded.insert(m_placement.target.id);
+    if (m_services.crashes.blockedFor(m_causes))
+        return std::nullopt;
+    if (m_services.relay.isNeeded()) {
+        if (m_source == RequestSource::Instance)
+            return std::nullopt;
+        if (const std::optional<Placement> relay = m_services.relay.place(excluded))
+            return Proposal { *relay, {}, {} };
+    }
+    if (!hasPrompt())
+        return m_services.placement.proposePlain(*m_service, excluded);
+    return m_services.placement.proposePrompt(*m_service, demand(), excluded, timeLeft());
 }
 
 void Exchange::migrateTo(const Placement &placement)
@@ -130,10 +139,8 @@
 void Exchange::leaveStalledTarget()
 {
     // The current send continues if no other target is available, as the target may still respond.
-    const std::optional<Placement> placement = placeElsewhere();
-    if (!placement || !m_services.ingress.tryAcquireRetry(m_service->id)) {
-        if (placement)
-            m_services.placement.endRequest(placement->entryId, false);
+    const std::optional<Proposal> proposal = proposeElsewhere();
+    if (!proposal || !m_services.ingress.tryAcquireRetry(m_service->id)) {
         scheduleStallCheck();
         return;
     }
@@ -144,7 +151,7 @@
               << " events=" << m_scanner.count;
     if (!m_placement.isRelay && !isCutOff())
         m_services.targets.recordFailure(keyOf(stalledTarget), m_service->engine.has_value());
-    tryElsewhere(*placement);
+    tryElsewhere(m_services.placement.accept(*m_service, *proposal, timeLeft()));
 }
 
 placement::EngineKey Exchange::engine() const
@@ -163,23 +170,21 @@
     stream.idleMs = static_cast<double>((now - std::max(m_lastEventAt, m_sentAt)).count());
     stream.clientTimeoutMs = static_cast<double>(limits::clientTimeout(*m_route).count());
     const double stayMs = m_services.placement.prefillBacklog(m_placement.target.id);
-    // Check with a migration cost of zero first: no real engine can be faster, and a placement
-    // would add an entry to the load tracker.
+    // Check with a migration cost of zero first: no real engine can be faster, and planning a
+    // placement takes a while.
     if (!placement::shouldMigrate(stream, stayMs, 0))
         return;
-    const std::optional<Placement> placement = placeElsewhere();
-    if (!placement)
+    const std::optional<Proposal> proposal = proposeElsewhere();
+    if (!proposal)
         return;
-    const bool isBetter = placement::shouldMigrate(stream, stayMs, placement->expectedMs);
+    const double moveMs = proposal->placement.expectedMs;
+    const bool isBetter = placement::shouldMigrate(stream, stayMs, moveMs);
     const bool isAllowed = isBetter && m_services.ingress.tryAcquireRetry(m_service->id);
     LOG(INFO) << "exchange: stream stalled by a long prefill id=" << m_caller.requestId
               << " target=" << m_placement.target.id.value << " stay_ms=" << stayMs
-              << " move_ms=" << placement->expectedMs << " better=" << isBetter
-              << " moved=" << isAllowed;
+              << " move_ms=" << moveMs << " better=" << isBetter << " moved=" << isAllowed;
     if (isAllowed)
-        migrateTo(*placement);
-    else
-        m_services.placement.endRequest(placement->entryId, false);
+        migrateTo(m_services.placement.accept(*m_service, *proposal, timeLeft()));
 }
 
 } // namespace egretmount::node
--- a/apps/node/placement_service.cpp
+++ b/apps/node/placement_service.cpp
@@ -363,10 +363,7 @@
         if (plan->startDelayMs > maxStartDelayMs)
             return QueueReason::EnginesBusy;
         const fleet::Target *first = m_fleet->findTarget(plan->engines.front());
-        if (!fleet::isCold(*first, now)
-            || limits::tryAcquireCold(coldTargetLimiter, first->entry.id,
-                                      service.coldRequestsPerSecond,
-                                      InstanceId(m_fleet->settings().host), m_peers->living(), now))
+        if (tryAcquireIfCold(coldTargetLimiter, *first, service))
             return *plan;
         unavailable.insert(first->entry.id);
     }
@@ -465,10 +462,19 @@
     return placed;
 }
 
-Decision PlacementService::placePlain(const fleet::ServiceSpec &service,
-                                      const std::set<TargetId> &excluded)
+bool PlacementService::tryAcquireIfCold(limits::ColdTargetLimiter &limiter,
+                                        const fleet::Target &target,
+                                        const fleet::ServiceSpec &service) const
 {
     const Milliseconds now = m_reactor.now();
+    return !fleet::isCold(target, now)
+           || limits::tryAcquireCold(limiter, target.entry.id, service.coldRequestsPerSecond,
+                                     InstanceId(m_fleet->settings().host), m_peers->living(), now);
+}
+
+const fleet::Target *PlacementService::leastLoaded(const fleet::ServiceSpec &service,
+                                                   const std::set<TargetId> &excluded)
+{
     const fleet::Target *best = nullptr;
     double bestCost = 0;
     std::uniform_real_distribution<double> tie(0, 0.05);
@@ -484,18 +490,68 @@
             bestCost = cost;
         }
     }
+    return best;
+}
+
+Decision PlacementService::placePlain(const fleet::ServiceSpec &service,
+                                      const std::set<TargetId> &excluded)
+{
+    const fleet::Target *best = leastLoaded(service, excluded);
     if (best == nullptr)
         return noTargetRefusal(service.id);
-    if (fleet::isCold(*best, now)
-        && !limits::tryAcquireCold(m_coldTargetLimiter, best->entry.id,
-                                   service.coldRequestsPerSecond,
-                                   InstanceId(m_fleet->settings().host), m_peers->living(), now))
+    if (!tryAcquireIfCold(m_coldTargetLimiter, *best, service))
         return Refusal { RefusalReason::AllFull, allFullRetryAfter };
     Placement placed;
     placed.target = best->entry;
     return placed;
 }
 
+std::optional<Proposal> PlacementService::proposePrompt(const fleet::ServiceSpec &service,
+                                                        placement::Demand demand,
+                                                        const std::set<TargetId> &excluded,
+                                                        Milliseconds timeLeft) const
+{
+    demand.mayWait = false;
+    demand.choiceSeed = choiceSeed(0);
+    std::set<TargetId> unavailable = excluded;
+    limits::ColdTargetLimiter coldTargetLimiter = m_coldTargetLimiter;
+    const PromptDecision decision = decidePrompt(service, demand, unavailable, timeLeft, 0, true,
+                                                 m_shortDemand, coldTargetLimiter);
+    const placement::Plan *plan = std::get_if<placement::Plan>(&decision);
+    if (plan == nullptr)
+        return std::nullopt;
+    Proposal proposal;
+    proposal.placement.target = m_fleet->findTarget(plan->engines.front())->entry;
+    proposal.placement.expectedMs = plan->firstEventMs;
+    proposal.plan = *plan;
+    proposal.demand = demand;
+    return proposal;
+}
+
+std::optional<Proposal> PlacementService::proposePlain(const fleet::ServiceSpec &service,
+                                                       const std::set<TargetId> &excluded)
+{
+    const fleet::Target *best = leastLoaded(service, excluded);
+    limits::ColdTargetLimiter coldTargetLimiter = m_coldTargetLimiter;
+    if (best == nullptr || !tryAcquireIfCold(coldTargetLimiter, *best, service))
+        return std::nullopt;
+    Proposal proposal;
+    proposal.placement.target = best->entry;
+    return proposal;
+}
+
+Placement PlacementService::accept(const fleet::ServiceSpec &service, const Proposal &proposal,
+                                   Milliseconds timeLeft)
+{
+    if (proposal.placement.isRelay)
+        return proposal.placement;
+    // It succeeds, as it has for the proposal.
+    tryAcquireIfCold(m_coldTargetLimiter, *m_fleet->findTarget(keyOf(proposal.placement.target.id)),
+                     service);
+    return proposal.plan ? commitPlacement(service, proposal.demand, *proposal.plan, timeLeft, 0)
+                         : proposal.placement;
+}
+
 void PlacementService::markDecoding(std::uint64_t entryId, double expectedMs, double actualMs,
                                     std::optional<int> inFlight)
 {
--- a/apps/node/placement_service.h
+++ b/apps/node/placement_service.h
@@ -44,6 +44,15 @@
     bool isRelay = false; ///< `target` is another instance, which places the request.
 };
 
+/// @brief Where a request that was sent already could be sent instead. Nothing of it is recorded or
+///        announced; see `PlacementService::accept`.
+struct Proposal
+{
+    Placement placement; ///< Of a prompt: without a load tracker entry and reservations.
+    std::optional<placement::Plan> plan; ///< Of a prompt.
+    placement::Demand demand; ///< Of a prompt.
+};
+
 /// @brief What the admission of a short request was decided by, for the log.
 struct AdmissionSummary
 {
@@ -142,6 +151,27 @@
                          const std::set<TargetId> &excluded, Milliseconds timeLeft,
                          std::uint64_t entryId, bool wasSent);
 
+    /// @brief Returns where a request with a prompt that was sent before could be sent next;
+    /// nothing
+    ///        if it could not be sent at once. The parameters are those of `placePrompt`.
+    ///
+    /// A question only: a placement that is recorded and taken back would count as demand, change
+    /// the backlogs of its engines, and make other streams look for engines in turn.
+    std::optional<Proposal> proposePrompt(const fleet::ServiceSpec &service,
+                                          placement::Demand demand,
+                                          const std::set<TargetId> &excluded,
+                                          Milliseconds timeLeft) const;
+
+    /// @brief The same for a request that has no prompt.
+    std::optional<Proposal> proposePlain(const fleet::ServiceSpec &service,
+                                         const std::set<TargetId> &excluded);
+
+    /// @brief Records a proposal as a placement and notifies the other instances.
+    /// @pre The proposal was made in the same callback of the event loop.
+    /// @param timeLeft Time until the request's deadline.
+    Placement accept(const fleet::ServiceSpec &service, const Proposal &proposal,
+                     Milliseconds timeLeft);
+
     /// @brief Explains what `placePrompt` would do with a prompt that arrives now. Nothing is
     ///        recorded, queued, reserved or sent.
     ///
@@ -250,6 +280,15 @@
                                 const placement::DemandRate &shortDemand,
                                 limits::ColdTargetLimiter &coldTargetLimiter) const;
 
+    /// @brief Returns the least loaded usable target of a service; null if there is none.
+    const fleet::Target *leastLoaded(const fleet::ServiceSpec &service,
+                                     const std::set<TargetId> &excluded);
+
+    /// @brief Uses one request of this instance's share if the target is cold.
+    /// @return False if the share is used up.
+    bool tryAcquireIfCold(limits::ColdTargetLimiter &limiter, const fleet::Target &target,
+                          const fleet::ServiceSpec &service) const;
+
     /// @brief Returns the seed that decides between equally good engines; zero: no random choice.
     std::uint64_t choiceSeed(std::uint64_t entryId) const;
 
