Run only the tasks of one round before the next poll

Cause: Reactor::runDeferred ran tasks until none was left, and runTimers fired timers without a delay that had been started meanwhile. Tasks that start each other therefore kept the loop from its sockets and deadlines. Change: a round runs the deferred tasks and the due timers that stood there when it began; run() polls without waiting if some are left. After the loop, deferred tasks run for 1,000 rounds at most, and a warning says so. Why it works: each round returns to the poll, whatever its tasks start.

--- a/src/daemon/net/reactor.cpp
+++ b/src/daemon/net/reactor.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <Poco/Timespan.h>
+#include <glog/logging.h>
 
 namespace egretmount::net {
 
@@ -12,6 +13,8 @@
 // Bounds the delay with which the owner of the loop sees a flag that a signal handler has set: the
 // owner checks the flag in a timer callback.
 constexpr Milliseconds maxPollTimeout = Milliseconds(100);
+// Tasks that release objects at the end of a process defer few others.
+constexpr int maxRoundsAfterLoop = 1'000;
 
 } // namespace
 
@@ -50,7 +53,7 @@
 TimerId Reactor::after(Milliseconds delay, std::function<void()> task)
 {
     const TimerId id = ++m_lastTimer;
-    const Milliseconds at = m_now + delay;
+    const Milliseconds at = m_now + std::max(delay, Milliseconds());
     m_timers.emplace(TimerKey(at, id), std::move(task));
     m_timerDeadlines.emplace(id, at);
     return id;
@@ -83,7 +86,7 @@
 {
     m_isStopped = false;
     while (!m_isStopped) {
-        runDeferred();
+        runDeferredOnce();
         const Milliseconds pollTimeout = m_deferred.empty() ? timeToNextTimer() : Milliseconds();
         const Poco::Net::PollSet::SocketModeMap ready =
             m_pollSet.poll(Poco::Timespan(pollTimeout.count() * Poco::Timespan::MILLISECONDS));
@@ -104,17 +107,29 @@
 
 void Reactor::runDeferred()
 {
-    while (!m_deferred.empty()) {
-        std::vector<std::function<void()>> tasks;
-        tasks.swap(m_deferred);
-        for (const std::function<void()> &task : tasks)
-            task();
+    for (int round = 0; !m_deferred.empty(); ++round) {
+        if (round == maxRoundsAfterLoop) {
+            LOG(WARNING) << "reactor: tasks defer others without end tasks=" << m_deferred.size();
+            return;
+        }
+        runDeferredOnce();
     }
 }
 
+void Reactor::runDeferredOnce()
+{
+    const std::vector<std::function<void()>> tasks = std::exchange(m_deferred, {});
+    for (const std::function<void()> &task : tasks)
+        task();
+}
+
 void Reactor::runTimers()
 {
-    while (!m_timers.empty() && m_timers.begin()->first.first <= m_now && !m_isStopped) {
+    // Timers that are started meanwhile wait for the next round, even without a delay. They have
+    // greater ids, and therefore follow all that are due already.
+    const TimerId last = m_lastTimer;
+    while (!m_timers.empty() && m_timers.begin()->first.first <= m_now
+           && m_timers.begin()->first.second <= last && !m_isStopped) {
         const auto first = m_timers.begin();
         const std::function<void()> task = std::move(first->second);
         m_timerDeadlines.erase(first->first.second);
--- a/src/daemon/net/reactor.h
+++ b/src/daemon/net/reactor.h
@@ -53,7 +53,7 @@
     ///        were already polled. Does nothing if the socket is not watched.
     void unwatch(const Poco::Net::Socket &socket);
 
-    /// @brief Runs a task once after a delay.
+    /// @brief Runs a task once after a delay; without one, in the next round of callbacks.
     TimerId after(Milliseconds delay, std::function<void()> task);
 
     /// @brief Runs a task repeatedly. A late run also delays the following ones; missed runs are
@@ -64,14 +64,18 @@
     ///        or `id` is 0.
     void cancel(TimerId &id);
 
-    /// @brief Runs a task after the current round of callbacks, before the next poll.
+    /// @brief Runs a task after the current round of callbacks, before the next poll. If a deferred
+    ///        task calls this, the new task runs after that poll.
+    ///
+    /// Tasks that defer each other without end therefore starve neither sockets nor timers.
     void defer(std::function<void()> task);
 
     /// @brief Runs until `stop` is called. The remaining socket callbacks of the current round
     ///        still run, but timers that are due do not.
     void run();
 
-    /// @brief Runs the deferred tasks, also those that they defer. After `run` has returned, this
+    /// @brief Runs the deferred tasks, also those that they defer, for up to 1,000 rounds. After
+    /// `run` has returned, this
     ///        releases what the tasks hold while the objects that they use still exist.
     void runDeferred();
     void stop() { m_isStopped = true; }
@@ -90,6 +94,8 @@
         }
     };
 
+    /// @brief Runs the tasks that are deferred now.
+    void runDeferredOnce();
     void runTimers();
     Milliseconds timeToNextTimer() const;
 
--- a/tests/platform/reactor_test.cpp
+++ b/tests/platform/reactor_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 
 #include "net/reactor.h"
@@ -16,6 +17,9 @@
     void onEnd(net::StreamEnd) override { }
 };
 
+// More rounds than a loop runs within a tenth of a second.
+constexpr int maxRounds = 20'000'000;
+
 } // namespace
 
 TEST_CASE("timers fire in the order of their times, and cancelled timers do not fire")
@@ -72,6 +76,73 @@
     CHECK(order == "ab");
 }
 
+// Guards against a loop that never returns to its sockets because two tasks defer each other.
+TEST_CASE("timers fire and sockets are served while two tasks defer each other")
+{
+    net::Reactor reactor;
+    bool isAccepted = false;
+    const std::shared_ptr<net::Listener> listener =
+        net::Listener::open(reactor, "127.0.0.1:18451",
+                            [&isAccepted](const Poco::Net::StreamSocket &) { isAccepted = true; });
+    NoOpListener noOpListener;
+    const std::shared_ptr<net::TcpStream> stream =
+        net::TcpStream::connect(reactor, "127.0.0.1:18451", &noOpListener);
+    int rounds = 0;
+    std::function<void()> ping;
+    std::function<void()> pong;
+    // The bound ends the test where the loop does not.
+    ping = [&] { reactor.defer(pong); };
+    pong = [&] {
+        if (++rounds < maxRounds)
+            reactor.defer(ping);
+    };
+    reactor.defer(ping);
+    reactor.after(100_ms, [&] { reactor.stop(); });
+    reactor.run();
+    CHECK(isAccepted);
+    CHECK(rounds > 1);
+    CHECK(rounds < maxRounds);
+}
+
+// The same for a timer without delay that starts itself.
+TEST_CASE("sockets are served while a timer without delay starts itself")
+{
+    net::Reactor reactor;
+    bool isAccepted = false;
+    const std::shared_ptr<net::Listener> listener =
+        net::Listener::open(reactor, "127.0.0.1:18452",
+                            [&isAccepted](const Poco::Net::StreamSocket &) { isAccepted = true; });
+    NoOpListener noOpListener;
+    const std::shared_ptr<net::TcpStream> stream =
+        net::TcpStream::connect(reactor, "127.0.0.1:18452", &noOpListener);
+    int rounds = 0;
+    std::function<void()> restart;
+    restart = [&] {
+        if (++rounds < maxRounds)
+            reactor.after(0_ms, restart);
+    };
+    reactor.after(0_ms, restart);
+    reactor.after(100_ms, [&] { reactor.stop(); });
+    reactor.run();
+    CHECK(isAccepted);
+    CHECK(rounds < maxRounds);
+}
+
+// Guards against a process that cannot exit.
+TEST_CASE("running the deferred tasks after the loop ends, whatever they defer")
+{
+    net::Reactor reactor;
+    int rounds = 0;
+    std::function<void()> again;
+    again = [&] {
+        if (++rounds < maxRounds)
+            reactor.defer(again);
+    };
+    reactor.defer(again);
+    reactor.runDeferred();
+    CHECK(rounds < maxRounds);
+}
+
 // Guards against an exception that ends the process when the local ports are used up, or no route
 // leads to a target, and the request is cancelled at the same moment.
 TEST_CASE("a connection that fails at once can be paused and closed before that is reported")
