Ask what a status proves before any byte of a response goes out

Cause: mayPassOnError knew the status 503 alone and was asked only from 500 on and only after the whole body. 408 and 429 took the branch of a success; a body larger than the response buffer, also that of a 503, was with the caller before the question. A status that would be misread ends the send there as ExecutionFailed, so the caller has its 502 at once. Callers of idempotent requests and resumable streams, which may repeat them anyway, get the target's answer unchanged if no retry succeeds. A 408 or 429 is a failure of its target, no success. Why it works: no response reaches onResponseBytes before the table has been asked, and relayed or retried responses take the same path.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -361,9 +361,7 @@
               << " expected_ms=" << placement.expectedMs << " left_ms=" << fields.timeLeft.count()
               << " sends=" << m_history.sends << " config=" << m_configuration->version
               << " causes=" << joinCauses(m_causes);
-    const bool needsNewConnection =
-        m_route->retrySemantics == fleet::RetrySemantics::AtMostOnce
-        || (m_route->retrySemantics == fleet::RetrySemantics::Stream && !m_route->isResumable);
+    const bool needsNewConnection = !limits::isRepeatable(*m_route);
     m_sentAt = m_lastEventAt = m_services.reactor.now();
     const std::string head =
         placement.isRelay ? platform::relayedHead(
--- a/apps/node/exchange.h
+++ b/apps/node/exchange.h
@@ -86,7 +86,8 @@
 
     bool maySend() override;
     void onRequestSent() override;
-    bool onResponseHead(http::ResponseHead head, std::optional<int> inFlight) override;
+    std::optional<limits::SendFailure> onResponseHead(http::ResponseHead head,
+                                                      std::optional<int> inFlight) override;
     bool onResponseBytes(std::string bytes) override;
     void onResponseComplete() override;
     void onSendFailed(limits::SendFailure failure, const std::string &failedTargetAddress) override;
@@ -230,7 +231,7 @@
     std::string m_buffer; ///< Response body that has not been forwarded yet.
     bool m_isEventStream = false;
     http::EventScanner m_scanner;
-    bool m_hasFallback = false; ///< A target responded 5xx; returned if no retry succeeds.
+    bool m_hasFallback = false; ///< A target's error that is returned if no retry succeeds.
     http::ResponseHead m_fallbackHead;
     std::string m_fallbackBody;
     Milliseconds m_sentAt;
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include <egretmount/limits/target_status.h>
+
 #include "crash_guard.h"
 #include "fleet_service.h"
 #include "ingress_service.h"
@@ -20,7 +22,8 @@
 
 } // namespace
 
-bool Exchange::onResponseHead(http::ResponseHead head, std::optional<int> inFlight)
+std::optional<limits::SendFailure> Exchange::onResponseHead(http::ResponseHead head,
+                                                            std::optional<int> inFlight)
 {
     if (m_history.sends > 1) {
         LOG(INFO) << "exchange: response after an earlier send id=" << m_caller.requestId
@@ -30,15 +33,20 @@
                   << " after_event=" << (m_scanner.lastId.empty() ? "none" : m_scanner.lastId);
     }
     m_reportedInFlight = inFlight;
-    if (m_history.isResponseStarted)
-        return m_isEventStream && limits::continuesStream(m_responseHead, head)
-               && platform::readResponseFields(head).isSigned
-                      == platform::readResponseFields(m_responseHead).isSigned;
+    if (m_history.isResponseStarted) {
+        const bool continues = m_isEventStream && limits::continuesStream(m_responseHead, head)
+                               && platform::readResponseFields(head).isSigned
+                                      == platform::readResponseFields(m_responseHead).isSigned;
+        return continues ? std::nullopt : std::optional(limits::SendFailure::NotContinued);
+    }
+    // Decided before the body, which may be too large to be buffered as a whole.
+    if (limits::useOf(*m_route, head.status) == limits::ResponseUse::RetryOrReplace)
+        return limits::SendFailure::ExecutionFailed;
     m_responseHead = std::move(head);
     m_isEventStream =
         m_route->retrySemantics == fleet::RetrySemantics::Stream && m_responseHead.status == 200;
     m_buffer.clear();
-    return true;
+    return std::nullopt;
 }
 
 bool Exchange::onResponseBytes(std::string bytes)
@@ -147,18 +155,18 @@
         handleFailure(limits::SendFailure::NotContinued);
         return;
     }
-    if (m_responseHead.status >= 500) {
+    if (limits::useOf(*m_route, m_responseHead.status) == limits::ResponseUse::Deliver) {
+        m_services.targets.recordSuccess(key);
+    } else {
         if (!m_placement.isRelay)
             m_services.targets.recordFailure(key, false);
         if (!m_history.isResponseStarted) {
-            m_hasFallback = limits::mayPassOnError(*m_route, m_responseHead.status);
+            m_hasFallback = true;
             m_fallbackHead = m_responseHead;
             m_fallbackBody = m_buffer;
             handleFailure(limits::SendFailure::ExecutionFailed);
             return;
         }
-    } else {
-        m_services.targets.recordSuccess(key);
     }
     const bool hasOutput = !m_isEventStream || m_decodedEvents > 0;
     if (m_responseHead.status < 300 && hasOutput && !m_isProofRecorded)
--- a/apps/node/held_send.cpp
+++ b/apps/node/held_send.cpp
@@ -59,11 +59,13 @@
         m_exchange.m_services.placement.endRequest(m_placement.entryId, false);
 }
 
-bool Exchange::HeldSend::onResponseHead(http::ResponseHead head, std::optional<int> inFlight)
+std::optional<limits::SendFailure> Exchange::HeldSend::onResponseHead(http::ResponseHead head,
+                                                                      std::optional<int> inFlight)
 {
     constexpr int firstErrorStatus = 300;
+    // The target that is tried meanwhile may serve the request.
     if (head.status >= firstErrorStatus)
-        return false; // the target that is tried meanwhile may serve the request
+        return limits::SendFailure::NotContinued;
     Exchange &exchange = m_exchange;
     exchange.resumeHeldSend();
     return exchange.onResponseHead(std::move(head), inFlight);
--- a/apps/node/held_send.h
+++ b/apps/node/held_send.h
@@ -30,7 +30,8 @@
 private:
     bool maySend() override { return false; }
     void onRequestSent() override { }
-    bool onResponseHead(http::ResponseHead head, std::optional<int> inFlight) override;
+    std::optional<limits::SendFailure> onResponseHead(http::ResponseHead head,
+                                                      std::optional<int> inFlight) override;
     bool onResponseBytes(std::string bytes) override;
     void onResponseComplete() override;
     void onSendFailed(limits::SendFailure failure, const std::string &failedTargetAddress) override;
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -206,8 +206,9 @@
         discardResponse(limits::SendFailure::Declined);
         return false;
     }
-    if (!m_listener->onResponseHead(m_head, m_fields.inFlight)) {
-        discardResponse(limits::SendFailure::NotContinued);
+    if (const std::optional<limits::SendFailure> failure =
+            m_listener->onResponseHead(m_head, m_fields.inFlight)) {
+        discardResponse(*failure);
         return false;
     }
     return true;
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -36,8 +36,9 @@
     virtual void onRequestSent() = 0; ///< The target may execute the request after this call.
 
     /// @param inFlight Number of in-flight requests as reported by the target, if it did.
-    /// @return False if the response cannot be used. The send then fails as `NotContinued`.
-    virtual bool onResponseHead(http::ResponseHead head, std::optional<int> inFlight) = 0;
+    /// @return Why the response cannot be used, with which the send fails; empty if it can.
+    virtual std::optional<limits::SendFailure> onResponseHead(http::ResponseHead head,
+                                                              std::optional<int> inFlight) = 0;
     /// @return False if the bytes cannot be used. The send then fails as `NotContinued`.
     virtual bool onResponseBytes(std::string bytes) = 0;
 
--- a/include/egretmount/limits/next_step.h
+++ b/include/egretmount/limits/next_step.h
@@ -42,10 +42,13 @@
 /// The number of sends is still limited because each retry uses the retry budget.
 constexpr int maxDeclinedSends = 2;
 
+/// @brief Returns whether a request of the route may be executed more than once: idempotent ones
+///        and resumable streams.
+bool isRepeatable(const fleet::Route &route);
+
 /// @brief Chooses the next step for a request after a failed send.
 ///
-/// A request that may have been executed is sent again only if its route allows repetition:
-/// at-most-once requests never, streams only if they are resumable.
+/// A request that may have been executed is sent again only if its route is repeatable.
 /// @param history The attempts so far, including the failed one if bytes of it were sent. A target
 ///                that declined is not counted as a possible execution.
 NextStep nextStep(const fleet::Route &route, SendFailure failure, const SendHistory &history);
@@ -57,13 +60,6 @@
 /// @param begun The head of the response that the caller has received.
 bool continuesStream(const http::ResponseHead &begun, const http::ResponseHead &next);
 
-/// @brief Returns whether the error response of a target that may have executed the request may be
-///        passed on to the caller.
-///
-/// To the caller, some statuses state that the request was not executed. That is wrong for a target
-/// that does not state it, and a caller would repeat a request that must not run twice.
-bool mayPassOnError(const fleet::Route &route, int status);
-
 /// @brief Returns the execution status of a request with the given history.
 Verdict verdictOf(const SendHistory &history);
 
--- a/src/limits/next_step.cpp
+++ b/src/limits/next_step.cpp
@@ -8,19 +8,6 @@
 
 namespace {
 
-bool isRetryable(const fleet::Route &route)
-{
-    switch (route.retrySemantics) {
-    case fleet::RetrySemantics::Idempotent:
-        return true;
-    case fleet::RetrySemantics::AtMostOnce:
-        return false;
-    case fleet::RetrySemantics::Stream:
-        return route.isResumable;
-    }
-    return false;
-}
-
 // The content type without its parameters, in lower case.
 std::string mediaType(const http::ResponseHead &head)
 {
@@ -34,6 +21,19 @@
 
 } // namespace
 
+bool isRepeatable(const fleet::Route &route)
+{
+    switch (route.retrySemantics) {
+    case fleet::RetrySemantics::Idempotent:
+        return true;
+    case fleet::RetrySemantics::AtMostOnce:
+        return false;
+    case fleet::RetrySemantics::Stream:
+        return route.isResumable;
+    }
+    return false;
+}
+
 bool continuesStream(const http::ResponseHead &begun, const http::ResponseHead &next)
 {
     return next.status == begun.status && mediaType(next) == mediaType(begun)
@@ -47,24 +47,17 @@
                                || failure == SendFailure::Declined;
     const bool hasTargetsLeft = history.possibleExecutions < route.maxTargets
                                 && history.sends < route.maxTargets + maxDeclinedSends;
-    const bool maySend = hasTargetsLeft && (history.possibleExecutions == 0 || isRetryable(route));
+    const bool maySend = hasTargetsLeft && (history.possibleExecutions == 0 || isRepeatable(route));
     if (history.isResponseStarted) {
         const bool mayResume =
             maySend && history.canResume && route.retrySemantics == fleet::RetrySemantics::Stream;
         return mayResume ? NextStep::ResumeElsewhere : NextStep::AbortResponse;
     }
-    if (maySend && (isNotExecuted || isRetryable(route)))
+    if (maySend && (isNotExecuted || isRepeatable(route)))
         return NextStep::Retry;
     return history.possibleExecutions == 0 ? NextStep::RespondNotRun : NextStep::RespondUnknown;
 }
 
-bool mayPassOnError(const fleet::Route &route, int status)
-{
-    constexpr int serviceUnavailable = 503;
-    return status != serviceUnavailable
-           || route.retrySemantics == fleet::RetrySemantics::Idempotent;
-}
-
 Verdict verdictOf(const SendHistory &history)
 {
     return history.possibleExecutions == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
--- a/tests/parts/limits_test.cpp
+++ b/tests/parts/limits_test.cpp
@@ -39,21 +39,6 @@
 
 } // namespace
 
-// Guards against callers who repeat a request that has run, because the status promises otherwise.
-TEST_CASE("a 503 of a target that may have run the request is passed on only for idempotent ones")
-{
-    fleet::Route route;
-    for (const fleet::RetrySemantics semantics :
-         { fleet::RetrySemantics::AtMostOnce, fleet::RetrySemantics::Stream }) {
-        route.retrySemantics = semantics;
-        CHECK_FALSE(limits::mayPassOnError(route, 503));
-        CHECK(limits::mayPassOnError(route, 500));
-        CHECK(limits::mayPassOnError(route, 504));
-    }
-    route.retrySemantics = fleet::RetrySemantics::Idempotent;
-    CHECK(limits::mayPassOnError(route, 503));
-}
-
 TEST_CASE("an at-most-once request is not retried once a target may have executed it")
 {
     const fleet::Route once = route(fleet::RetrySemantics::AtMostOnce, 3);
