Treat a status above 599 as malformed, as one below 100

Cause: parseResponseHead had a lower bound of the status and no upper one. Change: a status outside 100 to 599 makes the head malformed, so the send fails.

--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Other codes are invalid, and have no class from which a caller could tell success or failure.
+constexpr std::uint64_t minStatus = 100;
+constexpr std::uint64_t maxStatus = 599;
+
 bool isTokenChar(char c)
 {
     static constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
@@ -197,8 +201,8 @@
         return tl::unexpected(HeadProblem::Malformed);
     head.minorVersion = parseMinorVersion(line.substr(0, 8));
     const std::optional<std::uint64_t> status = parseDecimal(line.substr(9, 3));
-    if (head.minorVersion < 0 || line[8] != ' ' || !status || *status < 100
-        || (line.size() > 12 && line[12] != ' '))
+    if (head.minorVersion < 0 || line[8] != ' ' || !status || *status < minStatus
+        || *status > maxStatus || (line.size() > 12 && line[12] != ' '))
         return tl::unexpected(HeadProblem::Malformed);
     head.status = static_cast<int>(*status);
     if (line.size() > 13)
--- a/tests/node/support/raw_target.h
+++ b/tests/node/support/raw_target.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -20,25 +22,36 @@
 
 namespace egretmount::tests {
 
+/// @brief Port of raw targets: one of those from which `Nodes::setCut` cuts an instance off.
+constexpr int rawPort = 9'090;
+
+/// @brief How a raw target ends a connection after its response.
 enum class End {
     Fin,
-    Reset
+    Reset,
+    CloseUnread, ///< Closes it at once, which resets it if a part of the request is unread.
+    FinThenReset, ///< Ends its output, and resets the connection after `resetDelay`.
+    FinThenRead, ///< Ends its output, and reads until the peer ends the connection.
 };
 
 struct RawResponse
 {
     std::string bytes; ///< Sent as it is; `%ID` stands for the request's id.
     End end = End::Fin;
+    Milliseconds resetDelay {};
 };
 
-/// @brief A target that sends given bytes, one request for each connection.
+/// @brief A target that sends given bytes, one request for each connection. The handler is called
+///        on a thread for each connection.
 class RawTarget
 {
 public:
     using Handler = std::function<RawResponse(const std::string &request)>;
 
-    RawTarget(const std::string &address, Handler handler)
+    /// @param readBytes Of a request; the target responds once it has read that much.
+    RawTarget(const std::string &address, Handler handler, std::size_t readBytes)
         : m_handler(std::move(handler))
+        , m_readBytes(readBytes)
     {
         const std::size_t colon = address.find(':');
         sockaddr_in name {};
@@ -57,6 +70,8 @@
     {
         m_isStopping = true;
         m_thread.join();
+        for (std::thread &connection : m_connections)
+            connection.join();
         ::close(m_listener);
     }
 
@@ -65,8 +80,10 @@
     {
         while (!m_isStopping) {
             pollfd watched { m_listener, POLLIN, 0 };
-            if (poll(&watched, 1, 20) > 0)
-                serve(accept(m_listener, nullptr, nullptr));
+            if (poll(&watched, 1, 20) > 0) {
+                const int connection = accept(m_listener, nullptr, nullptr);
+                m_connections.emplace_back([this, connection] { serve(connection); });
+            }
         }
     }
 
@@ -76,8 +93,9 @@
         setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
         std::string request;
         char buffer[4096];
-        while (!isWhole(request)) {
-            const ssize_t count = recv(connection, buffer, sizeof buffer, 0);
+        while (!isWhole(request) && request.size() < m_readBytes) {
+            const std::size_t wanted = std::min(sizeof buffer, m_readBytes - request.size());
+            const ssize_t count = recv(connection, buffer, wanted, 0);
             if (count <= 0)
                 break;
             request.append(buffer, static_cast<std::size_t>(count));
@@ -89,8 +107,15 @@
             response.bytes.replace(
                 mark, 3, request.substr(start + 12, request.find('\r', start) - start - 12));
         send(connection, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
-        usleep(20'000); // a reset would discard what the peer has not read
-        if (response.end == End::Reset) {
+        if (response.end != End::CloseUnread)
+            usleep(20'000); // a reset would discard what the peer has not read
+        if (response.end == End::FinThenReset || response.end == End::FinThenRead)
+            shutdown(connection, SHUT_WR);
+        if (response.end == End::FinThenRead) {
+            while (recv(connection, buffer, sizeof buffer, 0) > 0) { }
+        }
+        usleep(static_cast<useconds_t>(response.resetDelay.count() * 1'000));
+        if (response.end == End::Reset || response.end == End::FinThenReset) {
             const linger reset { 1, 0 };
             setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
         }
@@ -108,9 +133,11 @@
     }
 
     Handler m_handler;
+    std::size_t m_readBytes;
     int m_listener = -1;
     std::atomic<bool> m_isStopping = false;
     std::thread m_thread;
+    std::vector<std::thread> m_connections; ///< Only `m_thread` adds any.
 };
 
 inline bool isReport(const std::string &request)
@@ -157,13 +184,14 @@
 {
     std::vector<std::unique_ptr<RawTarget>> raw;
 
-    RawCluster(int subnet, const std::vector<int> &numbers, const RawTarget::Handler &handler)
-        : TestCluster(subnet, 1, 2, 1)
+    RawCluster(int subnet, const std::vector<int> &numbers, const RawTarget::Handler &handler,
+               int instances = 1, std::size_t readBytes = std::numeric_limits<std::size_t>::max())
+        : TestCluster(subnet, instances, 2, 1)
     {
         REQUIRE(isReady);
         for (const int number : numbers) {
-            const std::string address = standIn.address(100 + number, 8090);
-            raw.push_back(std::make_unique<RawTarget>(address, handler));
+            const std::string address = standIn.address(100 + number, rawPort);
+            raw.push_back(std::make_unique<RawTarget>(address, handler, readBytes));
             standIn.setEntryAddress(number, address);
             standIn.writeEntry(number, "ready");
         }
--- a/tests/parts/http_head_test.cpp
+++ b/tests/parts/http_head_test.cpp
@@ -126,6 +126,8 @@
     CHECK(http::responseFraming(responseWith("HTTP/1.1 200\r\nContent-Length: 5"), "GET")->length
           == 5);
     CHECK_FALSE(http::parseResponseHead("HTTP/1.1 2x0 OK").has_value());
+    for (const char *status : { "000", "099", "600", "999" })
+        CHECK_FALSE(http::parseResponseHead(std::string("HTTP/1.1 ") + status + " X").has_value());
     CHECK_FALSE(http::parseResponseHead("garbage bytes here").has_value());
 }
 
