Watch the connection of a response without a length until its end is certain

Cause: TcpStream closed the connection at the end of input, although the request was still being written. The reset that followed could not be seen, and the report of the target's process, which runs, confirmed the end. Change: the stream stays open at the end of input and reports a later reset. A confirmed response is complete once nothing of the request is undelivered and, if it has a body, 50 ms have passed since then without a reset. Why it works: a target that closes with unread input resets the connection, and the kernel reports that on the open socket. What no side can see is a reset after that.

--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -19,6 +19,10 @@
 constexpr Milliseconds endCheckTimeout = Milliseconds(500);
 // Time for a target at its connection limit to end other connections.
 constexpr Milliseconds endCheckInterval = Milliseconds(50);
+// A target that ends its output and leaves a part of the request unread resets the connection when
+// it closes it, which may be some milliseconds later.
+constexpr Milliseconds settleTime = Milliseconds(50);
+constexpr Milliseconds settleCheckInterval = Milliseconds(10);
 constexpr std::size_t maxHeadBytes = 64UL * 1024;
 // Total of the interim responses (1xx) before a response.
 constexpr std::size_t maxInterimBytes = 64UL * 1024;
@@ -184,6 +188,8 @@
     if (!m_isRelay)
         m_pool.recordNotices(m_target, m_fields); // those of a target reach its own instance
     m_reader = http::makeBodyReader(*framing);
+    if (framing->framing == http::Framing::UntilClose)
+        m_connection.stream->stayOpenAtEnd();
     m_hasHead = true;
     const bool hasNoRequestId = m_fields.requestId.empty();
     // Targets state the id in all their responses. Without it, an error at the start of a
@@ -262,6 +268,7 @@
     if (m_isOver)
         return;
     m_end = end;
+    m_unsettledAt = m_reactor.now();
     if (m_isSent && m_connection.stream->hasSent())
         reportSent();
     if (m_isSent && !m_isReported) {
@@ -319,11 +326,28 @@
               << " responded=" << report.hasResponded << " started_at=" << report.startedAt
               << " expected=" << m_startedAt << " confirmed=" << isConfirmed;
     if (isConfirmed)
-        complete();
+        completeOnceSettled();
     else
         fail(limits::SendFailure::Broken);
 }
 
+void TargetSend::completeOnceSettled()
+{
+    const Milliseconds now = m_reactor.now();
+    if (m_connection.stream->undelivered() > 0)
+        m_unsettledAt = now;
+    // The target has read the head, which it answers.
+    const bool mayBeUnread = !m_requestBody->empty();
+    if (!mayBeUnread || now - m_unsettledAt >= settleTime) {
+        complete();
+        return;
+    }
+    m_endCheckTimer = m_reactor.after(settleCheckInterval, [this] {
+        m_endCheckTimer = 0;
+        completeOnceSettled();
+    });
+}
+
 bool TargetSend::keepsConnection() const
 {
     return m_reader.framing.framing != http::Framing::UntilClose
--- a/apps/node/target_send.h
+++ b/apps/node/target_send.h
@@ -128,6 +128,10 @@
     void confirmEnd(int checks = 1);
     void onEndReported(const limits::EndReport &report, int checks);
 
+    /// @brief Completes the response once the target can no longer reset it because of unread
+    ///        parts of the request.
+    void completeOnceSettled();
+
     /// @brief Ends the send because of the response's head. Keeps the connection if the body has
     ///        arrived already.
     void discardResponse(limits::SendFailure failure);
@@ -154,6 +158,7 @@
     platform::ResponseFields m_fields;
     http::BodyReader m_reader;
     std::optional<net::StreamEnd> m_end;
+    Milliseconds m_unsettledAt; ///< When the response ended, or the request was last undelivered.
     std::shared_ptr<net::HttpClient> m_endCheck; ///< Null unless an end is being confirmed.
     std::size_t m_interimBytes = 0;
     std::size_t m_discardedBytes = 0; ///< Of unrelated responses.
--- a/src/daemon/net/tcp_stream.cpp
+++ b/src/daemon/net/tcp_stream.cpp
@@ -120,7 +120,7 @@
     if (!m_isOpen || !isWatched)
         return;
     int mode = PollSet::POLL_ERROR;
-    if (!m_isPaused)
+    if (!m_isPaused && !m_isInputClosed)
         mode |= PollSet::POLL_READ;
     if (!m_isConnected || unsent() > 0)
         mode |= PollSet::POLL_WRITE;
@@ -277,7 +277,7 @@
 
 void TcpStream::receive()
 {
-    if (m_isOpen && m_isConnected && !m_isPaused)
+    if (m_isOpen && m_isConnected && !m_isPaused && !m_isInputClosed)
         readSome();
 }
 
@@ -301,7 +301,11 @@
     }
     if (m_isOpen && isWritable)
         flush();
-    if (m_isOpen && (isReadable || hasFailed))
+    if (!m_isOpen)
+        return;
+    if (m_isInputClosed && hasFailed)
+        finish(StreamEnd::Reset);
+    else if (!m_isInputClosed && (isReadable || hasFailed))
         readSome();
 }
 
@@ -370,7 +374,7 @@
             return;
         }
         if (count == 0) {
-            finish(StreamEnd::Closed);
+            onInputClosed();
             return;
         }
         if (m_isClosing) {
@@ -439,6 +443,17 @@
     updatePollMode();
 }
 
+void TcpStream::onInputClosed()
+{
+    if (!m_staysOpenAtEnd || m_listener == nullptr) {
+        finish(StreamEnd::Closed);
+        return;
+    }
+    m_isInputClosed = true;
+    updatePollMode();
+    m_listener->onEnd(StreamEnd::Closed);
+}
+
 void TcpStream::finish(StreamEnd end)
 {
     if (!m_isOpen)
--- a/src/daemon/net/tcp_stream.h
+++ b/src/daemon/net/tcp_stream.h
@@ -31,7 +31,9 @@
 
     virtual void onConnected() { }
     virtual void onBytes() = 0; ///< Bytes were appended to `TcpStream::input`.
-    virtual void onEnd(StreamEnd end) = 0; ///< Called at most once, and never after `close`.
+    /// Called at most once, and never after `close`. `Reset` may follow `Closed` on a stream that
+    /// stays open at its end.
+    virtual void onEnd(StreamEnd end) = 0;
     virtual void onDrained() { } ///< All written bytes have been handed to the kernel.
 };
 
@@ -113,6 +115,12 @@
     /// A peer may repeat a request that was not read, but not one that was read and discarded.
     void leaveInput() { m_leavesInput = true; }
 
+    /// @brief Keeps the connection when the peer closes its sending side. Output is still sent, and
+    ///        a reset that follows is reported.
+    ///
+    /// A peer that ends its output and then closes with unread input resets the connection.
+    void stayOpenAtEnd() { m_staysOpenAtEnd = true; }
+
     /// @brief Reads what has arrived since the last poll. The listener is called as usual.
     void receive();
 
@@ -153,6 +161,7 @@
     /// @brief Gives a peer that still sends time to finish.
     void discardedInput();
     void flush();
+    void onInputClosed();
     void finish(StreamEnd end);
     void updatePollMode();
 
@@ -176,6 +185,8 @@
     bool m_isAccepted = false;
     bool m_isClosing = false;
     bool m_leavesInput = false;
+    bool m_staysOpenAtEnd = false;
+    bool m_isInputClosed = false; ///< The peer has closed its sending side, and the socket is kept.
     bool m_isDiscarding = false; ///< The peer has sent bytes since `closeGracefully`.
 };
 
