Require the start stamp of a target that has one to confirm a response's end

What callers saw: a part of a body without a length as complete, if a process that was just starting at its target's address answered the question about the end. Cause: a report without a start stamp confirmed the end, as plain services have none. Change: a target with a known stamp has to state it; only a 4xx, by which a service says that it has no reports, is accepted without.

--- a/src/limits/response_end.cpp
+++ b/src/limits/response_end.cpp
@@ -4,9 +4,9 @@
 
 bool isEndConfirmed(const EndReport &report, std::int64_t startedAt)
 {
-    const bool isSameProcess =
-        startedAt == 0 || report.startedAt == 0 || report.startedAt == startedAt;
-    return report.hasResponded && isSameProcess;
+    if (!report.hasResponded || startedAt == 0)
+        return report.hasResponded;
+    return report.startedAt == 0 ? !report.lacksStamp : report.startedAt == startedAt;
 }
 
 bool hasRestartedOrEnded(const EndReport &report, std::int64_t startedAt)
--- a/tests/node/response_end_raw_test.cpp
+++ b/tests/node/response_end_raw_test.cpp
@@ -252,3 +252,23 @@
         CHECK(response.body == events({ "1", "2", "3" }));
     }
 }
+
+// The process that listens at the port after a restart does not prove that the former one ended
+// its response, if its report has no start stamp although the registry entry has one.
+TEST_CASE("response end: a report without a start stamp does not confirm the end of a response")
+{
+    for (const std::string &report :
+         { std::string("HTTP/1.1 503 Starting\r\nContent-Length: 0\r\n\r\n"),
+           std::string("HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"queued\":0,\"active\":0}"),
+           std::string("HTTP/1.1 200 OK\r\n\r\n{\"queued\":0,\"act") }) {
+        CAPTURE(report);
+        RawCluster cluster(subnet, { 1, 2 }, [report](const std::string &request) {
+            if (isReport(request))
+                return RawResponse { report, End::Fin };
+            return RawResponse { streamHead + "\r\n" + events({ "1", "2" }), End::Fin };
+        });
+        const Response response = cluster.nodes.sendRequest(0, streamRequest("stamp", "fixed"));
+        CHECK(response.body == events({ "1", "2" }));
+        CHECK_FALSE(response.isComplete);
+    }
+}
--- a/tests/parts/limits_test.cpp
+++ b/tests/parts/limits_test.cpp
@@ -240,6 +240,8 @@
     CHECK_FALSE(limits::isEndConfirmed({ false, false, 0 }, 0));
     CHECK_FALSE(limits::isEndConfirmed({ false, false, 7 }, 7));
     CHECK_FALSE(limits::isEndConfirmed({ true, true, 8 }, 7));
+    CHECK_FALSE(limits::isEndConfirmed({ true, true, 0, true }, 7));
+    CHECK(limits::isEndConfirmed({ true, true, 0, true }, 0));
 }
 
 // Guards against whole responses that fail because their target is at its connection limit, and
