--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -149,7 +149,7 @@
         handleFailure(limits::SendFailure::Broken);
         return;
     }
-    if (m_scanner.isResumed && !m_scanner.hasContinued) {
+    if (m_history.isResponseStarted && m_scanner.isResumed && !m_scanner.hasContinued) {
         // A target that no longer knows the request may respond with an empty stream. The caller
         // can resume by itself if its events were in fact the whole stream.
         handleFailure(limits::SendFailure::NotContinued);
--- a/include/egretmount/http/event_scanner.h
+++ b/include/egretmount/http/event_scanner.h
@@ -25,6 +25,10 @@
 ///        id of the last one is a number. Other ids have no known order.
 bool canResume(const EventScanner &scanner);
 
+/// @brief Makes the scanner expect the continuation of a stream that was received elsewhere.
+/// @param lastId Id of the last event there. Does nothing if it is no number.
+void continueAfter(EventScanner &scanner, std::string_view lastId);
+
 /// @brief Prepares the scanner for the response that resumes the stream, or that starts it anew if
 ///        there was no event yet. Drops the incomplete event.
 void beginNextResponse(EventScanner &scanner);
--- a/src/http/event_scanner.cpp
+++ b/src/http/event_scanner.cpp
@@ -98,6 +98,14 @@
     return !scanner.hasEvents || parseNumber(scanner.lastId).has_value();
 }
 
+void continueAfter(EventScanner &scanner, std::string_view lastId)
+{
+    if (!parseNumber(lastId))
+        return;
+    scanner.lastId = lastId;
+    scanner.hasEvents = true;
+}
+
 void beginNextResponse(EventScanner &scanner)
 {
     scanner.partial.clear();
--- a/tests/node/response_end_raw_test.cpp
+++ b/tests/node/response_end_raw_test.cpp
@@ -272,3 +272,31 @@
         CHECK_FALSE(response.isComplete);
     }
 }
+
+// The caller resumes by itself through this instance, and the target starts anew.
+TEST_CASE("response end: a stream that the caller resumes itself does not go back")
+{
+    TestCluster cluster(subnet);
+    REQUIRE(cluster.isReady);
+    CallerRequest request = streamRequest("again");
+    request.extraFields = "Last-Event-Id: 3\r\n";
+    Script script;
+    script.events = 8;
+    std::atomic<int> startsAnew = 0;
+    cluster.standIn.setScript([script, &startsAnew](const Arrival &) {
+        Script next = script;
+        next.ignoresLastEventId = startsAnew-- > 0;
+        return next;
+    });
+    // Another target continues it, or none does.
+    startsAnew = 1;
+    Response response = cluster.nodes.sendRequest(0, request);
+    CHECK(response.isComplete);
+    CHECK(response.body.find("id: 1\n") == std::string::npos);
+    CHECK(response.body.find("id: 4\n") == 0);
+    startsAnew = 10;
+    request.id = "all";
+    response = cluster.nodes.sendRequest(0, request);
+    CHECK(response.status == 502);
+    CHECK(response.body.find("id: 1\n") == std::string::npos);
+}
