Probe targets that requests could not reach after the others

What callers saw: an instance with a few dead targets counted as cut off for up to 0.3 s, left the directory and relayed its requests. Cause: of nine targets with three dead ones, three probes in a row could go to just these (1 in 84), also to the one whose failure had started the probing. Change: Reachability remembers for 10 s which targets failed, and chooseProbes takes them last.

--- a/apps/node/reach_service.cpp
+++ b/apps/node/reach_service.cpp
@@ -26,6 +26,7 @@
     Probe(ReachService &owner, fleet::TargetEntry target)
         : m_owner(owner)
         , m_reactor(owner.m_reactor)
+        , m_startedAt(owner.m_reactor.now())
         , m_target(std::move(target))
         , m_stream(net::TcpStream::connect(owner.m_reactor, m_target.address, this))
         , m_timer(owner.m_reactor.after(probeTimeout, [this] { end(false); }))
@@ -38,6 +39,7 @@
     }
 
     const TargetId &target() const { return m_target.id; }
+    Milliseconds startedAt() const { return m_startedAt; }
 
 private:
     void onConnected() override { end(true); }
@@ -53,6 +55,7 @@
 
     ReachService &m_owner;
     net::Reactor &m_reactor; ///< Outlives the owner, and so may this probe.
+    Milliseconds m_startedAt;
     fleet::TargetEntry m_target;
     std::shared_ptr<net::TcpStream> m_stream;
     net::TimerId m_timer = 0;
@@ -79,11 +82,11 @@
     });
 }
 
-void ReachService::onConnected()
+void ReachService::onConnected(const TargetId &target)
 {
     const Milliseconds now = m_reactor.now();
+    limits::recordTarget(m_reach, target, true, now);
     const Milliseconds since = m_reach.notReachedSince.value_or(now);
-    m_connectedAt = now;
     if (limits::recordConnected(m_reach, now)) {
         LOG(WARNING) << "reach: targets reached again after_ms=" << (now - since).count();
         notifyListeners();
@@ -92,7 +95,13 @@
         m_reactor.defer([this] { answerQuestions(); });
 }
 
-void ReachService::onConnectFailed()
+void ReachService::onConnectFailed(const TargetId &target)
+{
+    limits::recordTarget(m_reach, target, false, m_reactor.now());
+    checkReach();
+}
+
+void ReachService::checkReach()
 {
     limits::recordConnectFailed(m_reach, m_reactor.now());
     probe();
@@ -119,13 +128,14 @@
     // Deferred because the probe calls this function.
     m_reactor.defer([probe = *ended] {});
     const TargetId id = target;
+    const Milliseconds startedAt = (*ended)->startedAt();
     m_probes.erase(ended);
     if (isConnected) {
-        onConnected();
+        onConnected(id);
         return;
     }
     const Milliseconds now = m_reactor.now();
-    if (limits::recordProbeFailed(m_reach, id, m_fleet->table().targets.size(), now)) {
+    if (limits::recordProbeFailed(m_reach, id, m_fleet->table().targets.size(), startedAt, now)) {
         const std::optional<Milliseconds> others = m_peers->contactOfOthers();
         LOG(WARNING) << "reach: no target reached probes=" << m_reach.failedProbes.size()
                      << " targets=" << m_fleet->table().targets.size()
@@ -141,7 +151,7 @@
 void ReachService::findFault(std::function<void(limits::Fault)> done)
 {
     m_questions.push_back({ m_reactor.now(), std::move(done) });
-    onConnectFailed();
+    checkReach();
 }
 
 void ReachService::answerQuestions()
@@ -151,7 +161,7 @@
     std::vector<std::pair<Question, limits::Fault>> answered;
     for (std::size_t i = 0; i < m_questions.size();) {
         const limits::Fault fault =
-            limits::faultOf(m_reach, m_questions[i].failedAt, m_connectedAt, others, now);
+            limits::faultOf(m_reach, m_questions[i].failedAt, m_reach.connectedAt, others, now);
         if (fault == limits::Fault::Unknown) {
             ++i;
             continue;
--- a/apps/node/reach_service.h
+++ b/apps/node/reach_service.h
@@ -43,8 +43,8 @@
 
     /// @name Events of connections to targets
     /// @{
-    void onConnected();
-    void onConnectFailed();
+    void onConnected(const TargetId &target);
+    void onConnectFailed(const TargetId &target);
     void onBytes() { limits::recordBytes(m_reach, m_reactor.now()); }
     void onRequestSent() { limits::recordRequestSent(m_reach, m_reactor.now()); }
     void onRequestEnded() { limits::recordRequestEnded(m_reach); }
@@ -68,6 +68,8 @@
         std::function<void(limits::Fault)> done;
     };
 
+    /// @brief Probes targets after a connection has failed.
+    void checkReach();
     void probe();
     void onProbeEnded(const TargetId &target, bool isConnected);
     void answerQuestions();
@@ -78,7 +80,6 @@
     FleetService *m_fleet = nullptr;
     PeerService *m_peers = nullptr;
     limits::Reachability m_reach;
-    Milliseconds m_connectedAt;
     std::list<std::shared_ptr<Probe>> m_probes; ///< In progress.
     std::vector<Question> m_questions;
     std::vector<std::function<void()>> m_listeners;
--- a/apps/node/target_send.cpp
+++ b/apps/node/target_send.cpp
@@ -74,7 +74,7 @@
     m_connectTimer = m_reactor.after(connectTimeout, [this] {
         m_connectTimer = 0;
         if (!m_isRelay)
-            m_pool.reach().onConnectFailed();
+            m_pool.reach().onConnectFailed(m_target.id);
         fail(limits::SendFailure::NotSent);
     });
 }
@@ -106,7 +106,7 @@
 {
     m_reactor.cancel(m_connectTimer);
     if (!m_isRelay)
-        m_pool.reach().onConnected();
+        m_pool.reach().onConnected(m_target.id);
     if (m_listener->maySend())
         writeRequest();
     else
@@ -277,7 +277,7 @@
     }
     if (!m_isSent) {
         if (!m_isRelay)
-            m_pool.reach().onConnectFailed();
+            m_pool.reach().onConnectFailed(m_target.id);
         fail(limits::SendFailure::NotSent);
         return;
     }
--- a/include/egretmount/limits/reachability.h
+++ b/include/egretmount/limits/reachability.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -39,12 +40,18 @@
 ///        concludes that the targets are at fault.
 constexpr Milliseconds faultDecisionTime = Milliseconds(1'200);
 
+/// @brief How long a target that could not be reached is probed only after the others.
+constexpr Milliseconds failureMemory = Milliseconds(10'000);
+
 /// @brief What an instance knows of its own connections to targets.
 struct Reachability
 {
     std::optional<Milliseconds> failingSince; ///< First failure since the last connection.
     std::optional<Milliseconds> notReachedSince;
     std::set<TargetId> failedProbes; ///< Targets that were probed in vain since then.
+    /// When connections to targets last failed, also before other targets were reached.
+    std::map<TargetId, Milliseconds> failedAt;
+    Milliseconds connectedAt; ///< Last connection to a target.
     Milliseconds contactAt; ///< Last connection to a target, or bytes from one.
     Milliseconds awaitingSince; ///< When the oldest of the present requests was sent.
     Milliseconds probedAt;
@@ -58,11 +65,17 @@
 /// @brief Records that a connection to a target failed.
 void recordConnectFailed(Reachability &reach, Milliseconds now);
 
-/// @brief Records that a probe of a target failed.
+/// @brief Records whether a given target was reached, which says something of that target alone.
+/// @complexity Linear in the number of targets that have failed lately.
+void recordTarget(Reachability &reach, const TargetId &target, bool isReached, Milliseconds now);
+
+/// @brief Records that a probe of a target failed. It says something of that target alone if
+/// another
+///        was reached since the probe began.
 /// @param knownTargets Number of targets that could be probed.
 /// @return True if none is reached from now on.
 bool recordProbeFailed(Reachability &reach, const TargetId &target, std::size_t knownTargets,
-                       Milliseconds now);
+                       Milliseconds startedAt, Milliseconds now);
 
 /// @brief Records that a target has sent something on a connection.
 void recordBytes(Reachability &reach, Milliseconds now);
@@ -77,6 +90,8 @@
 std::size_t probesDue(const Reachability &reach, std::size_t running, Milliseconds now);
 
 /// @brief Chooses targets to probe: those that have not failed, from different zones.
+///
+/// Targets that requests could not reach come last, as a probe would say the same once more.
 /// @param randomBits Selects among equals.
 std::vector<fleet::TargetEntry> chooseProbes(const Reachability &reach,
                                              const fleet::TargetTable &table, std::size_t count,
--- a/src/limits/reachability.cpp
+++ b/src/limits/reachability.cpp
@@ -1,6 +1,7 @@
 #include <egretmount/limits/reachability.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <tuple>
 
@@ -22,7 +23,7 @@
     reach.failingSince.reset();
     reach.notReachedSince.reset();
     reach.failedProbes.clear();
-    reach.contactAt = now;
+    reach.connectedAt = reach.contactAt = now;
     return wasNotReached;
 }
 
@@ -32,9 +33,24 @@
         reach.failingSince = now;
 }
 
+void recordTarget(Reachability &reach, const TargetId &target, bool isReached, Milliseconds now)
+{
+    for (auto position = reach.failedAt.begin(); position != reach.failedAt.end();) {
+        const bool isForgotten = now - position->second >= failureMemory;
+        position = isForgotten ? reach.failedAt.erase(position) : std::next(position);
+    }
+    if (isReached)
+        reach.failedAt.erase(target);
+    else
+        reach.failedAt[target] = now;
+}
+
 bool recordProbeFailed(Reachability &reach, const TargetId &target, std::size_t knownTargets,
-                       Milliseconds now)
+                       Milliseconds startedAt, Milliseconds now)
 {
+    recordTarget(reach, target, false, now);
+    if (reach.connectedAt >= startedAt)
+        return false;
     recordConnectFailed(reach, now);
     reach.failedProbes.insert(target);
     const std::size_t needed = std::clamp<std::size_t>(knownTargets, 1, minFailedProbes);
@@ -101,16 +117,16 @@
     std::vector<fleet::TargetEntry> chosen;
     while (chosen.size() < count) {
         const fleet::Target *best = nullptr;
-        std::tuple<bool, std::size_t, std::uint64_t> bestRank;
+        std::tuple<bool, bool, std::size_t, std::uint64_t> bestRank;
         for (const auto &[id, target] : table.targets) {
             const bool isChosen =
                 std::any_of(chosen.begin(), chosen.end(),
                             [&id = id](const fleet::TargetEntry &one) { return one.id == id; });
             if (isChosen)
                 continue;
-            const std::tuple<bool, std::size_t, std::uint64_t> rank(
-                reach.failedProbes.count(id) > 0, probesOf[target.entry.zone],
-                stableHash(id.value, randomBits));
+            const std::tuple<bool, bool, std::size_t, std::uint64_t> rank(
+                reach.failedProbes.count(id) > 0, reach.failedAt.count(id) > 0,
+                probesOf[target.entry.zone], stableHash(id.value, randomBits));
             if (best == nullptr || rank < bestRank) {
                 best = &target;
                 bestRank = rank;
--- a/tests/parts/limits_reachability_test.cpp
+++ b/tests/parts/limits_reachability_test.cpp
@@ -35,12 +35,13 @@
     recordConnectFailed(reach, now);
     for (int round = 0; round < 10 && reachOf(reach) == Reach::Doubtful; ++round) {
         const std::size_t due = probesDue(reach, 0, now);
+        const Milliseconds startedAt = now;
         now += 250_ms;
         for (const fleet::TargetEntry &target : chooseProbes(reach, table, due, random())) {
             if (unreachable.count(target.id) == 0)
                 recordConnected(reach, now);
             else
-                recordProbeFailed(reach, target.id, table.targets.size(), now);
+                recordProbeFailed(reach, target.id, table.targets.size(), startedAt, now);
         }
     }
     return reachOf(reach);
@@ -98,6 +99,28 @@
     }
 }
 
+// Guards against an instance that counts as cut off because its probes go to the targets that its
+// requests have just found dead.
+TEST_CASE("targets that requests could not reach are probed after the others")
+{
+    const fleet::TargetTable table = tableOf(1, 9);
+    const std::set<TargetId> dead = { TargetId("t0-0"), TargetId("t0-4"), TargetId("t0-8") };
+    for (std::uint64_t seed = 1; seed <= 2'000; ++seed) {
+        CAPTURE(seed);
+        Reachability reach;
+        Milliseconds now = 10'000_ms;
+        recordTarget(reach, TargetId("t0-4"), false, now);
+        REQUIRE(probe(reach, table, dead, seed, now) == Reach::Reached);
+    }
+    // They are probed all the same if nothing else is left, and like others after a while.
+    Reachability reach;
+    recordTarget(reach, TargetId("t0-4"), false, 10'000_ms);
+    CHECK(chooseProbes(reach, table, 9, 1).size() == 9);
+    CHECK(chooseProbes(reach, table, 9, 1).back().id == TargetId("t0-4"));
+    recordTarget(reach, TargetId("t0-1"), true, 10'000_ms + failureMemory);
+    CHECK(reach.failedAt.empty());
+}
+
 TEST_CASE("silence is probed only if requests wait, and once a second")
 {
     Reachability reach;
