Name the outcome of a connection to a target, and log replaced responses

What a reader stumbled over: recordTarget did not say what it records, two comments were split or unclear, and nothing in the log told the status of a response that was not passed on. Change: recordTargetOutcome; comments; log line "exchange: response not passed on" with status and use. No decision changes.

--- a/apps/node/exchange.cpp
+++ b/apps/node/exchange.cpp
@@ -121,6 +121,7 @@
     if (m_source == RequestSource::Caller) // otherwise the other instance has counted it
         m_services.ingress.recordRequest(m_service->id);
     m_services.crashes.recordRequest(m_route->name, m_causes);
+    // The caller has the events up to this id, maybe from another instance.
     if (m_route->isResumable)
         http::continueAfter(m_scanner, m_caller.lastEventId);
     startDeadlineTimer(timeLeft());
--- a/apps/node/exchange_response.cpp
+++ b/apps/node/exchange_response.cpp
@@ -40,8 +40,13 @@
         return continues ? std::nullopt : std::optional(limits::SendFailure::NotContinued);
     }
     // Decided before the body, which may be too large to be buffered as a whole.
-    if (limits::useOf(*m_route, head.status) == limits::ResponseUse::RetryOrReplace)
+    const limits::ResponseUse use = limits::useOf(*m_route, head.status);
+    if (use == limits::ResponseUse::RetryOrReplace) {
+        LOG(INFO) << "exchange: response not passed on id=" << m_caller.requestId
+                  << " target=" << m_placement.target.id.value << " status=" << head.status
+                  << " use=" << nameOf(use);
         return limits::SendFailure::ExecutionFailed;
+    }
     m_responseHead = std::move(head);
     m_isEventStream =
         m_route->retrySemantics == fleet::RetrySemantics::Stream && m_responseHead.status == 200;
--- a/apps/node/reach_service.cpp
+++ b/apps/node/reach_service.cpp
@@ -85,7 +85,7 @@
 void ReachService::onConnected(const TargetId &target)
 {
     const Milliseconds now = m_reactor.now();
-    limits::recordTarget(m_reach, target, true, now);
+    limits::recordTargetOutcome(m_reach, target, true, now);
     const Milliseconds since = m_reach.notReachedSince.value_or(now);
     if (limits::recordConnected(m_reach, now)) {
         LOG(WARNING) << "reach: targets reached again after_ms=" << (now - since).count();
@@ -97,7 +97,7 @@
 
 void ReachService::onConnectFailed(const TargetId &target)
 {
-    limits::recordTarget(m_reach, target, false, m_reactor.now());
+    limits::recordTargetOutcome(m_reach, target, false, m_reactor.now());
     checkReach();
 }
 
--- a/include/egretmount/limits/reachability.h
+++ b/include/egretmount/limits/reachability.h
@@ -65,14 +65,17 @@
 /// @brief Records that a connection to a target failed.
 void recordConnectFailed(Reachability &reach, Milliseconds now);
 
-/// @brief Records whether a given target was reached, which says something of that target alone.
+/// @brief Remembers whether a connection to a target was established, for the choice of probes.
 /// @complexity Linear in the number of targets that have failed lately.
-void recordTarget(Reachability &reach, const TargetId &target, bool isReached, Milliseconds now);
+void recordTargetOutcome(Reachability &reach, const TargetId &target, bool isReached,
+                         Milliseconds now);
 
-/// @brief Records that a probe of a target failed. It says something of that target alone if
-/// another
-///        was reached since the probe began.
+/// @brief Records that a probe of a target failed.
+///
+/// If another target was reached since the probe began, the failure says something of its target
+/// alone.
 /// @param knownTargets Number of targets that could be probed.
+/// @param startedAt When the probe began.
 /// @return True if none is reached from now on.
 bool recordProbeFailed(Reachability &reach, const TargetId &target, std::size_t knownTargets,
                        Milliseconds startedAt, Milliseconds now);
--- a/include/egretmount/limits/response_end.h
+++ b/include/egretmount/limits/response_end.h
@@ -11,7 +11,7 @@
         false; ///< Its port, or that of a proxy before it, has accepted a connection.
     bool hasResponded = false; ///< It has responded to a request there.
     std::int64_t startedAt = 0; ///< Its start stamp; zero: it reports none.
-    bool lacksStamp = false; ///< It has not even said that it serves no reports.
+    bool lacksStamp = false; ///< It reports none, and has not said that it has no reports.
 };
 
 /// @brief Returns whether a target that ended a connection within a response has crashed.
--- a/src/limits/reachability.cpp
+++ b/src/limits/reachability.cpp
@@ -33,7 +33,8 @@
         reach.failingSince = now;
 }
 
-void recordTarget(Reachability &reach, const TargetId &target, bool isReached, Milliseconds now)
+void recordTargetOutcome(Reachability &reach, const TargetId &target, bool isReached,
+                         Milliseconds now)
 {
     for (auto position = reach.failedAt.begin(); position != reach.failedAt.end();) {
         const bool isForgotten = now - position->second >= failureMemory;
@@ -48,7 +49,7 @@
 bool recordProbeFailed(Reachability &reach, const TargetId &target, std::size_t knownTargets,
                        Milliseconds startedAt, Milliseconds now)
 {
-    recordTarget(reach, target, false, now);
+    recordTargetOutcome(reach, target, false, now);
     if (reach.connectedAt >= startedAt)
         return false;
     recordConnectFailed(reach, now);
--- a/src/limits/target_status.cpp
+++ b/src/limits/target_status.cpp
@@ -13,7 +13,7 @@
 struct Promise
 {
     int status = 0;
-    Verdict verdict = Verdict::MayHaveRun; ///< What it proves by itself.
+    Verdict verdict = Verdict::MayHaveRun; // what it proves by itself
 };
 
 constexpr std::array<Promise, 4> promises { {
--- a/tests/parts/limits_reachability_test.cpp
+++ b/tests/parts/limits_reachability_test.cpp
@@ -109,15 +109,15 @@
         CAPTURE(seed);
         Reachability reach;
         Milliseconds now = 10'000_ms;
-        recordTarget(reach, TargetId("t0-4"), false, now);
+        recordTargetOutcome(reach, TargetId("t0-4"), false, now);
         REQUIRE(probe(reach, table, dead, seed, now) == Reach::Reached);
     }
     // They are probed all the same if nothing else is left, and like others after a while.
     Reachability reach;
-    recordTarget(reach, TargetId("t0-4"), false, 10'000_ms);
+    recordTargetOutcome(reach, TargetId("t0-4"), false, 10'000_ms);
     CHECK(chooseProbes(reach, table, 9, 1).size() == 9);
     CHECK(chooseProbes(reach, table, 9, 1).back().id == TargetId("t0-4"));
-    recordTarget(reach, TargetId("t0-1"), true, 10'000_ms + failureMemory);
+    recordTargetOutcome(reach, TargetId("t0-1"), true, 10'000_ms + failureMemory);
     CHECK(reach.failedAt.empty());
 }
 
