Share the cut of an instance between the tests of relayed requests

Three new files repeated the wait for both instances to know of the cut. Checks are unchanged; the three relayed cases pass (129 checks).

--- a/tests/node/early_response_test.cpp
+++ b/tests/node/early_response_test.cpp
@@ -87,13 +87,7 @@
     RawCluster cluster(
         subnet, { 1, 2, 51 },
         [&endCase](const std::string &request) { return respond(request, endCase); }, 2, readBytes);
-    cluster.nodes.setCut(0, CutMode::Reset);
-    // Until both instances know, which failed connections tell them.
-    for (int i = 0; i < 40 && cluster.nodes.directory(1).size() > 1; ++i) {
-        cluster.nodes.sendRequest(0, plainRequest("read", "early" + std::to_string(i)));
-        usleep(100'000);
-    }
-    REQUIRE(cluster.nodes.directory(1).size() == 1);
+    REQUIRE(cutFirstInstance(cluster, plainRequest("read", "early")));
     for (const std::size_t bytes : { 60'000, 100'000 }) {
         CAPTURE(bytes);
         CHECK(cluster.nodes.sendRequest(0, upload("pay", bytes)).status == 502);
--- a/tests/node/invalid_status_test.cpp
+++ b/tests/node/invalid_status_test.cpp
@@ -75,13 +75,7 @@
 TEST_CASE("a relayed response whose status is not one of HTTP is a failure")
 {
     RawCluster cluster(subnet, { 1, 2, 51 }, respond, 2);
-    cluster.nodes.setCut(0, CutMode::Reset);
-    // Until both instances know, which failed connections tell them.
-    for (int i = 0; i < 40 && cluster.nodes.directory(1).size() > 1; ++i) {
-        cluster.nodes.sendRequest(0, requestFor("read", "200"));
-        usleep(100'000);
-    }
-    REQUIRE(cluster.nodes.directory(1).size() == 1);
+    REQUIRE(cutFirstInstance(cluster, requestFor("read", "200")));
     CHECK(cluster.nodes.sendRequest(0, requestFor("pay", "200")).body == "odd!");
     for (const char *route : { "pay", "fixed" }) {
         for (const char *status : invalidStatuses) {
--- a/tests/node/promise_status_test.cpp
+++ b/tests/node/promise_status_test.cpp
@@ -136,16 +136,11 @@
     TestCluster cluster(subnet, 2);
     REQUIRE(cluster.isReady);
     cluster.standIn.setScript([](const Arrival &arrival) {
-        const int status = std::stoi(arrival.requestId.substr(arrival.requestId.find('-') + 1));
-        return rawScript(status, idField(arrival.requestId), "x");
+        const std::string &id = arrival.requestId;
+        const int status = id.find("early") == 0 ? 200 : std::stoi(id.substr(id.find('-') + 1));
+        return rawScript(status, idField(id), "x");
     });
-    cluster.nodes.setCut(0, CutMode::Reset);
-    // Until both instances know, which failed connections tell them.
-    for (int i = 0; i < 40 && cluster.nodes.directory(1).size() > 1; ++i) {
-        cluster.nodes.sendRequest(0, requestTo("read", "early" + std::to_string(i) + "-200"));
-        usleep(100'000);
-    }
-    REQUIRE(cluster.nodes.directory(1).size() == 1);
+    REQUIRE(cutFirstInstance(cluster, requestTo("read", "early")));
     for (const char *route : { "pay", "fixed" }) {
         for (const int status : { 408, 429, 503 }) {
             CAPTURE(route);
--- a/tests/node/support/test_cluster.h
+++ b/tests/node/support/test_cluster.h
@@ -53,4 +53,19 @@
     return request;
 }
 
+/// @brief Cuts the first of two instances off from all targets, so that it relays its requests.
+/// @param request Sent until both instances know, which failed connections tell them.
+/// @return False if they do not know within some seconds.
+inline bool cutFirstInstance(TestCluster &cluster, CallerRequest request)
+{
+    cluster.nodes.setCut(0, CutMode::Reset);
+    const std::string id = request.id;
+    for (int i = 0; i < 40 && cluster.nodes.directory(1).size() > 1; ++i) {
+        request.id = id + std::to_string(i);
+        cluster.nodes.sendRequest(0, request);
+        usleep(100'000);
+    }
+    return cluster.nodes.directory(1).size() == 1;
+}
+
 } // namespace egretmount::tests
