Test a promise after a refused send, and of resumable streams

What was missing: two paths of were only read or tested in parts: a request that a first target refuses and a second one runs, and a resumable stream that is retried and keeps the last status. No product change.

--- a/tests/node/promise_status_test.cpp
+++ b/tests/node/promise_status_test.cpp
@@ -174,6 +174,51 @@
     }
 }
 
+// Guards against a promise after a refused send: the second target has run the request.
+TEST_CASE("a request that a target refused and the next one ran gets no status of a promise")
+{
+    TestCluster cluster(subnet);
+    REQUIRE(cluster.isReady);
+    for (const int status : { 408, 429, 503 }) {
+        CAPTURE(status);
+        std::atomic<int> sends = 0;
+        cluster.standIn.setScript([&](const Arrival &arrival) {
+            if (sends++ > 0)
+                return rawScript(status, idField(arrival.requestId), "x");
+            Script refusal;
+            refusal.declines = true;
+            return refusal;
+        });
+        const std::string id = "refused" + std::to_string(status);
+        checkPromisesNothing(cluster, id, cluster.nodes.sendRequest(0, requestTo("pay", id)));
+        CHECK(sends == 2);
+    }
+}
+
+// A resumable stream may run again, so its caller may read the last status as a promise.
+TEST_CASE("a resumable stream is retried after a 408, 429 or 503 and keeps the last of them")
+{
+    TestCluster cluster(subnet);
+    REQUIRE(cluster.isReady);
+    for (const int status : { 408, 429, 503 }) {
+        CAPTURE(status);
+        std::atomic<int> left = 1;
+        cluster.standIn.setScript([&](const Arrival &arrival) {
+            return left-- > 0 ? rawScript(status, idField(arrival.requestId), "x") : Script();
+        });
+        const std::string once = "stream-once" + std::to_string(status);
+        const Response served = cluster.nodes.sendRequest(0, requestTo("stream", once));
+        CHECK(served.status == 200);
+        CHECK(served.isComplete);
+        left = 10;
+        const std::string always = "stream-always" + std::to_string(status);
+        const Response failed = cluster.nodes.sendRequest(0, requestTo("stream", always));
+        CHECK(failed.status == status);
+        CHECK(failed.field("Response-Signature") == "s");
+        CHECK(cluster.standIn.arrivalsOf(always).size() == 2);
+    }
+}
+
 // The other side of the rule: a true refusal stays one, and says when to return.
 TEST_CASE("a request that its targets state not to have run is refused with Retry-After")
 {
