Add review case 11: two engines that leave unannounced get requests after drainMs

Cause: the removal of two of five entries in one page of changes is taken for leases that lapsed in an outage, and the targets stay in use for 2,300 ms, which is more than drainMs (2,000 ms).

--- /dev/null
+++ b/review/11/two_leave.cpp
@@ -0,0 +1,176 @@
+// Two of five engines of a plain service leave at the same moment without reporting `draining`:
+// their entries are removed, and they serve on for a little more than `drainMs`. Checks that no
+// request reaches them later than `drainMs` after the store has acknowledged the removals.
+//
+// Usage: two_leave FOLDER RECORD TROUBLE
+
+#include <iostream>
+
+#include "../common-3/platform.h"
+
+namespace {
+
+using namespace review;
+
+constexpr int caseNumber = 111; // second number of the loopback addresses
+constexpr int slots = 6;
+constexpr std::int64_t workMs = 100;
+constexpr int callers = 12;
+constexpr std::int64_t drainMs = 2'000;
+// What an engine serves longer than `drainMs`, "and a little longer".
+constexpr std::int64_t extraServiceMs = 300;
+// The time between an engine's own clock reading and the store's, which are one process here.
+constexpr std::int64_t toleranceMs = 20;
+
+struct Answer
+{
+    std::string requestId;
+    std::int64_t sentAt = 0;
+    int status = 0; // zero: the connection ended
+};
+
+struct Callers
+{
+    std::atomic<bool> isStopping = false;
+    std::mutex mutex;
+    std::vector<Answer> answers; // guarded by `mutex`
+    std::vector<std::thread> threads;
+};
+
+// Sends one request after the other on a kept connection.
+void call(Callers &all, const std::string &address, int caller)
+{
+    std::unique_ptr<Connection> connection;
+    for (int number = 0; !all.isStopping; ++number) {
+        if (!connection)
+            connection = Connection::open(address, 1'000);
+        if (!connection) {
+            sleepMs(50);
+            continue;
+        }
+        Answer answer { "c" + std::to_string(caller) + '-' + std::to_string(number), nowMs(), 0 };
+        connection->write("POST /pay/x HTTP/1.1\r\nHost: x.example\r\nRequest-Id: "
+                          + answer.requestId
+                          + "\r\nRequest-Deadline: 1500\r\nAuthorization: Bearer key-1\r\n"
+                            "Content-Length: 4\r\n\r\nbody");
+        const Message response = connection->read(3'000);
+        answer.status = response.isComplete ? response.status() : 0;
+        if (!response.isComplete || response.field("connection") == "close")
+            connection.reset();
+        const std::lock_guard<std::mutex> lock(all.mutex);
+        all.answers.push_back(answer);
+    }
+}
+
+int statusOf(const Callers &all, const std::string &requestId)
+{
+    for (const Answer &answer : all.answers) {
+        if (answer.requestId == requestId)
+            return answer.status;
+    }
+    return 0;
+}
+
+int run(const std::string &folder, Record &record, bool hasTrouble)
+{
+    const Addresses addresses(caseNumber);
+    Store store;
+    if (!store.start(addresses.at(250, 8223)))
+        return 2;
+    store.put("op/config", plainConfiguration(1, "non_idempotent", 1));
+    std::vector<std::unique_ptr<Engine>> engines;
+    for (int i = 1; i <= 5; ++i) {
+        engines.push_back(std::make_unique<Engine>("i-" + std::to_string(i), "app",
+                                                   addresses.at(100 + i, 8080), "a", workMs));
+        if (!engines.back()->start())
+            return 2;
+        store.put(engines.back()->key(), engines.back()->entry("ready", slots));
+    }
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (int i = 1; i <= 2; ++i) {
+        nodes.push_back(std::make_unique<Node>(addresses, i, 2, folder, addresses.at(250, 8223)));
+        nodes.back()->start();
+    }
+    const std::int64_t readyBy = nowMs() + 10'000;
+    while (!nodes[0]->isReady() || !nodes[1]->isReady()) {
+        if (nowMs() > readyBy)
+            return 2;
+        sleepMs(50);
+    }
+    record.line("two machines are ready; five engines of one service with 6 slots each");
+    Callers all;
+    for (int i = 0; i < callers; ++i)
+        all.threads.emplace_back([&all, &nodes, i] { call(all, nodes[0]->frontAddress(), i); });
+    sleepMs(5'000);
+
+    // The leaving engines, and when the store acknowledged their removals.
+    std::map<Engine *, std::int64_t> left;
+    if (hasTrouble) {
+        left[engines[0].get()] = left[engines[1].get()] =
+            store.remove({ engines[0]->key(), engines[1]->key() });
+        record.line("the entries of i-1 and i-2 are removed at the same moment");
+        sleepMs(drainMs + extraServiceMs);
+        engines[0]->exit();
+        engines[1]->exit();
+        record.line("i-1 and i-2 have exited");
+    } else {
+        for (int i = 0; i < 2; ++i) {
+            left[engines[i].get()] = store.remove({ engines[i]->key() });
+            record.line("the entry of " + engines[i]->id() + " is removed");
+            sleepMs(drainMs + extraServiceMs);
+            engines[i]->exit();
+            record.line(engines[i]->id() + " has exited");
+        }
+    }
+    sleepMs(1'500);
+    all.isStopping = true;
+    for (std::thread &thread : all.threads)
+        thread.join();
+
+    std::map<int, int> statuses;
+    for (const Answer &answer : all.answers)
+        ++statuses[answer.status];
+    for (const auto &[status, count] : statuses)
+        record.line("answers with status " + std::to_string(status) + ": " + std::to_string(count));
+    std::size_t late = 0;
+    std::size_t lost = 0;
+    std::size_t arrived = 0;
+    for (const std::unique_ptr<Engine> &engine : engines) {
+        const std::vector<Arrival> arrivals = engine->arrivals();
+        arrived += arrivals.size();
+        record.line(engine->id() + ": " + std::to_string(arrivals.size()) + " requests arrived");
+        const auto removal = left.find(engine.get());
+        if (removal == left.end())
+            continue;
+        for (const Arrival &arrival : arrivals) {
+            const std::int64_t after = arrival.at - removal->second;
+            if (after <= drainMs + toleranceMs)
+                continue;
+            const int status = statusOf(all, arrival.requestId);
+            ++late;
+            lost += status == 200 ? 0 : 1;
+            record.line("LATE: " + arrival.requestId + " reached " + arrival.engine + ' '
+                        + std::to_string(after)
+                        + " ms after the removal was acknowledged; the caller got "
+                        + (status == 0 ? std::string("no answer") : std::to_string(status)));
+        }
+    }
+    record.line("requests that reached a leaving engine later than drainMs: " + std::to_string(late)
+                + ", of these not answered with success: " + std::to_string(lost));
+    if (!nodes[0]->isRunning() || !nodes[1]->isRunning() || arrived < 300)
+        return 2;
+    return late > 0 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 4)
+        return 2;
+    Record record(argv[2]);
+    const int result = run(argv[1], record, std::string(argv[3]) != "0");
+    record.line("result: " + std::to_string(result));
+    std::cout << "result " << result << '\n';
+    return result;
+}
