--- a/review/common-3/platform.h
+++ b/review/common-3/platform.h
@@ -301,13 +301,15 @@
 public:
     /// @param folder Temporary folder for the settings and the log.
     /// @param machines Number of machines; they have the numbers from 1.
+    /// @param cpuShare Share of a core that the settings state.
     Node(const Addresses &addresses, int machine, int machines, std::string folder,
-         std::string storeAddress)
+         std::string storeAddress, std::string cpuShare = "0.25")
         : m_addresses(addresses)
         , m_machine(machine)
         , m_machines(machines)
         , m_folder(std::move(folder))
         , m_storeAddress(std::move(storeAddress))
+        , m_cpuShare(std::move(cpuShare))
     { }
 
     Node(const Node &) = delete;
@@ -349,6 +351,7 @@
     }
 
     int exitStatus() const { return m_exitStatus; }
+    pid_t process() const { return m_process; }
 
     void kill()
     {
@@ -382,7 +385,8 @@
                + "\",\"zone\":\"a\",\"region\":\"r\",\"zones\":{\"a\":\"r\"},\"listenAddrs\":{"
                + listen("front", 8227) + ',' + listen("ready", 8220) + ',' + listen("control", 8229)
                + ',' + listen("directory", 8224) + "},\"portRange\":[7340,7355],\"seeds\":[" + seeds
-               + "],\"limits\":{\"cpuShare\":0.25,\"cores\":1,\"memoryMb\":260,\"maxFds\":4100,"
+               + "],\"limits\":{\"cpuShare\":" + m_cpuShare
+               + ",\"cores\":1,\"memoryMb\":260,\"maxFds\":4100,"
                  "\"linkMbps\":1000.0,\"diskMb\":0},\"heartbeatMs\":1200,"
                  "\"contractParams\":{\"reuseAfterS\":2,\"contactMs\":3000,\"drainMs\":2000,"
                  "\"graceS\":8,\"lossSlackMs\":200,\"configMs\":2000,\"budgetRatio\":0.2,"
@@ -397,6 +401,7 @@
     int m_machines;
     std::string m_folder;
     std::string m_storeAddress;
+    std::string m_cpuShare;
     pid_t m_process = -1;
     int m_exitStatus = 0;
 };
