--- a/review/11/order_race.cpp
+++ b/review/11/order_race.cpp
@@ -182,23 +182,25 @@
 int run(const std::string &folder, Record &record, bool hasTrouble)
 {
     const Addresses addresses(caseNumber);
+    if (!addresses.areFree())
+        return 2;
     const EngineSpec spec;
     Store store;
-    if (!store.start(addresses.at(250, 8223)))
+    if (!store.start(addresses.at(250, Port::Store)))
         return 2;
     store.put("op/config", llmConfiguration(spec));
     std::vector<std::unique_ptr<LlmEngine>> engines;
     for (int i = 1; i <= engineCount; ++i) {
         engines.push_back(std::make_unique<LlmEngine>("i-" + std::to_string(i),
-                                                      addresses.at(100 + i, 8080), spec));
+                                                      addresses.at(100 + i, Port::Engine), spec));
         if (!engines.back()->start())
             return 2;
         store.put(engines.back()->key(), engines.back()->entry());
     }
     std::vector<std::unique_ptr<Engine>> plainEngines;
     for (int i = 1; i <= readEngines; ++i) {
-        plainEngines.push_back(std::make_unique<Engine>("p-" + std::to_string(i), "app",
-                                                        addresses.at(200 + i, 8080), "a", 2));
+        plainEngines.push_back(std::make_unique<Engine>(
+            "p-" + std::to_string(i), "app", addresses.at(200 + i, Port::Engine), "a", 2));
         if (!plainEngines.back()->start())
             return 2;
         store.put(plainEngines.back()->key(), plainEngines.back()->entry("ready", 6));
@@ -206,7 +208,7 @@
     std::vector<std::unique_ptr<Node>> nodes;
     for (int i = 1; i <= machines; ++i) {
         nodes.push_back(std::make_unique<Node>(addresses, i, machines, folder,
-                                               addresses.at(250, 8223), "0.084"));
+                                               addresses.at(250, Port::Store), "0.084"));
         nodes.back()->start();
     }
     const std::int64_t readyBy = nowMs() + 10'000;
--- a/review/12/late_after_leave.cpp
+++ b/review/12/late_after_leave.cpp
@@ -78,14 +78,17 @@
 int run(const std::string &folder, Record &record, bool hasTrouble)
 {
     const Addresses addresses(caseNumber);
+    if (!addresses.areFree())
+        return 2;
     Store store;
-    if (!store.start(addresses.at(250, 8223)))
+    if (!store.start(addresses.at(250, Port::Store)))
         return 2;
     store.put("op/config", plainConfiguration(1, "non_idempotent", 1));
     std::vector<std::unique_ptr<Engine>> engines;
     const auto addEngine = [&](int number) {
         engines.push_back(std::make_unique<Engine>("i-" + std::to_string(number), "app",
-                                                   addresses.at(100 + number, 8080), "a", workMs));
+                                                   addresses.at(100 + number, Port::Engine), "a",
+                                                   workMs));
         const bool hasStarted = engines.back()->start();
         store.put(engines.back()->key(), engines.back()->entry("ready", slots));
         return hasStarted;
@@ -96,7 +99,8 @@
     }
     std::vector<std::unique_ptr<Node>> nodes;
     for (int i = 1; i <= 2; ++i) {
-        nodes.push_back(std::make_unique<Node>(addresses, i, 2, folder, addresses.at(250, 8223)));
+        nodes.push_back(
+            std::make_unique<Node>(addresses, i, 2, folder, addresses.at(250, Port::Store)));
         nodes.back()->start();
     }
     const std::int64_t readyBy = nowMs() + 10'000;
--- a/review/common-3/platform.h
+++ b/review/common-3/platform.h
@@ -278,24 +278,77 @@
     Listener m_listener;
 };
 
-/// @brief The addresses of one run: a network of its own below 127.0.0.0/8.
+/// @brief What listens at a port. The numbers are places in a block of free ports.
+enum class Port {
+    Store,
+    Engine,
+    Front,
+    Ready,
+    Control,
+    Directory,
+    FirstPeer,
+    LastPeer = FirstPeer + 15,
+};
+
+/// @brief The addresses of one run: a network below 127.0.0.0/8, and ports that are free.
 class Addresses
 {
 public:
+    /// @param number Second number of the addresses.
     explicit Addresses(int number)
-        : m_network("127." + std::to_string(number) + '.' + std::to_string(1 + getpid() % 250)
-                    + '.')
-    { }
+    {
+        constexpr int tries = 200;
+        for (int i = 0; i < tries && m_firstPort == 0; ++i) {
+            m_network = "127." + std::to_string(number) + '.'
+                        + std::to_string(1 + (getpid() + i) % 250) + '.';
+            const int first = 12'000 + (getpid() * 23 + i * 101) % 18'000;
+            if (isUsable(first))
+                m_firstPort = first;
+        }
+    }
 
+    /// @brief Returns whether free ports were found.
+    bool areFree() const { return m_firstPort != 0; }
+
+    int port(Port which) const { return m_firstPort + static_cast<int>(which); }
     std::string host(int machine) const { return m_network + std::to_string(machine); }
 
-    std::string at(int machine, int port) const
+    std::string at(int machine, Port which) const
     {
-        return host(machine) + ':' + std::to_string(port);
+        return host(machine) + ':' + std::to_string(port(which));
     }
 
 private:
+    static bool canBind(const std::string &address, int type)
+    {
+        const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+        const sockaddr_in name = socketAddress(address);
+        const bool isFree =
+            bind(socket, reinterpret_cast<const sockaddr *>(&name), sizeof name) == 0;
+        ::close(socket);
+        return isFree;
+    }
+
+    // The command of the deploy file names the port of the metrics.
+    bool isUsable(int first) const
+    {
+        constexpr int metricsPort = 9'464;
+        constexpr int machines = 3;
+        for (int machine = 1; machine <= machines; ++machine) {
+            if (!canBind(host(machine) + ':' + std::to_string(metricsPort), SOCK_STREAM))
+                return false;
+        }
+        // Binding to all addresses fails if any of them uses the port.
+        for (int port = first; port <= first + static_cast<int>(Port::LastPeer); ++port) {
+            const std::string address = "0.0.0.0:" + std::to_string(port);
+            if (!canBind(address, SOCK_STREAM) || !canBind(address, SOCK_DGRAM))
+                return false;
+        }
+        return true;
+    }
+
     std::string m_network;
+    int m_firstPort = 0;
 };
 
 /// @brief A machine of the system: the program of the deploy file, as a process.
@@ -319,7 +372,7 @@
     Node &operator=(const Node &) = delete;
     ~Node() { kill(); }
 
-    std::string frontAddress() const { return m_addresses.at(m_machine, 8227); }
+    std::string frontAddress() const { return m_addresses.at(m_machine, Port::Front); }
 
     void start()
     {
@@ -368,7 +421,7 @@
     bool isReady() const
     {
         const std::unique_ptr<Connection> connection =
-            Connection::open(m_addresses.at(m_machine, 8220), 500);
+            Connection::open(m_addresses.at(m_machine, Port::Ready), 500);
         return connection && connection->write("GET /v1/ready HTTP/1.1\r\nHost: r\r\n\r\n")
                && connection->read(500).status() == 200;
     }
@@ -378,16 +431,19 @@
     {
         std::string seeds;
         for (int seed = 1; seed <= std::min(m_machines, 3); ++seed)
-            seeds.append(seed > 1 ? "," : "").append('"' + m_addresses.at(seed, 8229) + '"');
-        const auto listen = [this](const char *name, int port) {
+            seeds.append(seed > 1 ? "," : "")
+                .append('"' + m_addresses.at(seed, Port::Control) + '"');
+        const auto listen = [this](const char *name, Port port) {
             return '"' + std::string(name) + "\":\"" + m_addresses.at(m_machine, port) + '"';
         };
         return "{\"nodeName\":\"front-a-" + std::to_string(m_machine)
                + "\",\"role\":\"node\",\"machineClass\":\"front\",\"ip\":\""
                + m_addresses.host(m_machine)
                + "\",\"zone\":\"a\",\"region\":\"r\",\"zones\":{\"a\":\"r\"},\"listenAddrs\":{"
-               + listen("front", 8227) + ',' + listen("ready", 8220) + ',' + listen("control", 8229)
-               + ',' + listen("directory", 8224) + "},\"portRange\":[7340,7355],\"seeds\":[" + seeds
+               + listen("front", Port::Front) + ',' + listen("ready", Port::Ready) + ','
+               + listen("control", Port::Control) + ',' + listen("directory", Port::Directory)
+               + "},\"portRange\":[" + std::to_string(m_addresses.port(Port::FirstPeer)) + ","
+               + std::to_string(m_addresses.port(Port::LastPeer)) + "],\"seeds\":[" + seeds
                + "],\"limits\":{\"cpuShare\":" + m_cpuShare
                + ",\"cores\":1,\"memoryMb\":260,\"maxFds\":4100,"
                  "\"linkMbps\":1000.0,\"diskMb\":0},\"heartbeatMs\":1200,"
